Describe the gateway mode and define its edge to a platform

The users' platform has targets that check ownership themselves, a log with conditional appends, and hosts without disks.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod daemon;
 pub mod finding;
 pub mod forward;
+pub mod gateway;
 pub mod journal;
 pub mod lease;
 pub mod logging;
