--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -5,4 +5,7 @@
 //! that must last stands in the platform's log. `docs/platform.md` gives the
 //! decisions, their bounds, and what happens when each part fails.
 
+pub mod catalog;
 pub mod dialect;
+pub mod quota;
+pub mod registry;
