--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -6,3 +6,5 @@
 //! decisions, their bounds, and what happens when each part fails.
 
 pub mod dialect;
+pub mod keys;
+pub mod steward;
