--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -7,5 +7,7 @@
 
 pub mod catalog;
 pub mod dialect;
+pub mod keys;
 pub mod quota;
 pub mod registry;
+pub mod steward;
