--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -27,9 +27,15 @@
 /// Deadline of a request that names none and whose route has no limit, in milliseconds.
 const DEADLINE: u64 = 30_000;
 
+/// Time for an answer to reach the caller within its deadline, in milliseconds.
+const RETURN: u64 = 20;
+
 /// Pause after which a refused caller may come back, in milliseconds.
 const PAUSE: u64 = 250;
 
+/// Keys that are counted together.
+const BUCKET: u16 = 64;
+
 /// Part of the memory that bodies may take.
 const BODY_SHARE: usize = 4;
 
@@ -43,10 +49,28 @@
     pub(crate) headers: http::HeaderMap,
     pub(crate) body: Bytes,
     pub(crate) start: clock::Millis,
+    pub(crate) read: clock::Millis,
     pub(crate) end: clock::Millis,
     pub(crate) work: f64,
 }
 
+impl Ask {
+    /// Writes a line on the request's end.
+    fn trace(&self, shared: &Shared, status: http::StatusCode) {
+        let id = self.headers.get(&shared.dialect.names().request);
+        log::debug!(
+            request:? = id,
+            route = &*self.route.name,
+            status = status.as_u16(),
+            key:? = self.key,
+            bytes = self.body.len(),
+            read_ms = self.read.since(self.start),
+            ms = clock::now().since(self.start);
+            "request ended"
+        );
+    }
+}
+
 /// Counts a request, and the bytes it holds, until it ends.
 struct Guard<'s> {
     shared: &'s Shared,
@@ -87,7 +111,11 @@
     counters::count(&shared.counters.requests);
     let guard = Guard::new(&shared);
     let mut response = match read(&shared, &guard, request, start).await {
-        Ok(ask) => run(&shared, &ask).await,
+        Ok(ask) => {
+            let response = run(&shared, &ask).await;
+            ask.trace(&shared, response.status());
+            response
+        }
         Err(refusal) => refusal,
     };
     guard.done.set(true);
@@ -130,6 +158,7 @@
         false => None,
     };
     let asked = head::number(&parts.headers, &names.deadline).unwrap_or(DEADLINE);
+    let asked = asked.saturating_sub(RETURN.min(asked / 8));
     let limit = asked.min(route.timeout.unwrap_or(DEADLINE));
     let work = expected_work(shared, &route);
     Ok(Ask {
@@ -141,6 +170,7 @@
         key,
         body,
         start,
+        read: clock::now(),
         end: start + limit,
         work,
     })
@@ -192,6 +222,7 @@
 /// Sends the request until there is an answer or a reason to stop.
 async fn run(shared: &Rc<Shared>, ask: &Ask) -> http::Response<Body> {
     on_request(shared, &ask.service.name);
+    count_demand(shared, ask);
     let end = Duration::from_millis(ask.end.since(clock::now()));
     let sent = Cell::new(false);
     match tokio::time::timeout(end, attempts(shared, ask, &sent)).await {
@@ -204,6 +235,16 @@
     }
 }
 
+/// Counts the work of a keyed request, for the steward.
+fn count_demand(shared: &Shared, ask: &Ask) {
+    let Some(key) = ask.key else {
+        return;
+    };
+    let mut demand = shared.demand.borrow_mut();
+    let buckets = demand.entry(ask.service.name.clone()).or_default();
+    *buckets.entry(key / BUCKET).or_default() += ask.work as f32;
+}
+
 fn refuse(shared: &Shared, why: &'static str) -> http::Response<Body> {
     counters::count(&shared.counters.refused);
     reply::refusal(why, PAUSE)
@@ -222,7 +263,7 @@
             Err(why) => return state.give_up(shared, why),
         };
         let life = attempt.life.clone();
-        match attempt.send(shared, ask, sent).await {
+        match hedged(shared, ask, attempt, &state, sent).await {
             Verdict::Answer(response) => {
                 counters::count(&shared.counters.answered);
                 return response;
@@ -247,6 +288,57 @@
     }
 }
 
+/// Sends the request, and once more to another target if the answer takes long
+/// and the request may run twice. The first answer counts.
+async fn hedged(
+    shared: &Rc<Shared>,
+    ask: &Ask,
+    attempt: Attempt,
+    state: &Attempts,
+    sent: &Cell<bool>,
+) -> Verdict {
+    let life = attempt.life.clone();
+    let delay = Duration::from_millis(ask.route.objective / 2);
+    let mut first = std::pin::pin!(attempt.send(shared, ask, sent));
+    if ask.key.is_some() || !ask.route.kind.may_repeat() || ask.route.attempts <= state.ran + 1 {
+        return first.await;
+    }
+    if let Ok(verdict) = tokio::time::timeout(delay, first.as_mut()).await {
+        return verdict;
+    }
+    let Some(other) = hedge(shared, ask, state, life) else {
+        return first.await;
+    };
+    let mut second = std::pin::pin!(other.send(shared, ask, sent));
+    let (verdict, is_first) = tokio::select! {
+        verdict = first.as_mut() => (verdict, true),
+        verdict = second.as_mut() => (verdict, false),
+    };
+    match verdict {
+        Verdict::Answer(_) => verdict,
+        _ if is_first => second.await,
+        _ => first.await,
+    }
+}
+
+/// Returns another target for a request that takes long, if one has a free slot
+/// and the budget allows it.
+fn hedge(shared: &Shared, ask: &Ask, state: &Attempts, life: choice::Life) -> Option<Attempt> {
+    let mut tried = state.tried.clone();
+    tried.push(life);
+    let excluded = Attempts {
+        tried,
+        ..Attempts::default()
+    };
+    let other = pick(shared, ask, &excluded).ok()?;
+    let requests = shared.choice.borrow().requests(&other.life, clock::now());
+    if requests >= f64::from(other.slots()) || !take_hedge(shared, &ask.service.name) {
+        return None;
+    }
+    counters::count(&shared.counters.retries);
+    Some(other)
+}
+
 #[derive(Default)]
 struct Attempts {
     tried: Vec<choice::Life>,
@@ -282,34 +374,50 @@
     }
 }
 
-fn terms(shared: &Shared) -> quota::Terms {
+/// Part of the retry budget's share of requests that hedges may use.
+const HEDGE_SHARE: f64 = 0.6;
+
+/// Returns the budgets of retries and of hedges, which together keep the bounds.
+fn terms(shared: &Shared) -> (quota::Terms, quota::Terms) {
     let bounds = &shared.settings.bounds;
-    quota::Terms {
-        ratio: bounds.retry_share,
-        fixed: bounds.retry_extra,
+    let part = |ratio: f64, fixed: f64| quota::Terms {
+        ratio: bounds.retry_share * ratio,
+        fixed: bounds.retry_extra * fixed,
         window: bounds.retry_window.0,
-    }
+    };
+    (part(1.0 - HEDGE_SHARE, 0.7), part(HEDGE_SHARE, 0.3))
 }
 
 fn with_budget<T>(
     shared: &Shared,
     service: &model::ServiceName,
-    act: impl FnOnce(&mut quota::Retry) -> T,
+    act: impl FnOnce(&mut quota::Retry, &mut quota::Retry) -> T,
 ) -> T {
     let mut budgets = shared.retries.borrow_mut();
-    let budget = budgets
-        .entry(service.clone())
-        .or_insert_with(|| quota::Retry::new(terms(shared)));
-    budget.set_peers(shared.peers.borrow().live(clock::now()));
-    act(budget)
+    let (retries, hedges) = budgets.entry(service.clone()).or_insert_with(|| {
+        let (retries, hedges) = terms(shared);
+        (quota::Retry::new(retries), quota::Retry::new(hedges))
+    });
+    let live = shared.peers.borrow().live(clock::now());
+    retries.set_peers(live);
+    hedges.set_peers(live);
+    act(retries, hedges)
 }
 
 fn on_request(shared: &Shared, service: &model::ServiceName) {
-    with_budget(shared, service, |budget| budget.on_request(clock::now()));
+    let now = clock::now();
+    with_budget(shared, service, |retries, hedges| {
+        retries.on_request(now);
+        hedges.on_request(now);
+    });
 }
 
 fn take_retry(shared: &Shared, service: &model::ServiceName) -> bool {
-    with_budget(shared, service, |budget| budget.take(clock::now()))
+    with_budget(shared, service, |retries, _| retries.take(clock::now()))
+}
+
+fn take_hedge(shared: &Shared, service: &model::ServiceName) -> bool {
+    with_budget(shared, service, |_, hedges| hedges.take(clock::now()))
 }
 
 /// Picks a target for a request without a key.
--- a/src/gateway/exchange/attempt.rs
+++ b/src/gateway/exchange/attempt.rs
@@ -84,6 +84,11 @@
         }
     }
 
+    /// Returns the requests that the target serves at a time.
+    pub(crate) fn slots(&self) -> u32 {
+        self.target.slots.max(1)
+    }
+
     /// Sends the request and judges the answer. `sent` is set before anything is sent.
     pub(crate) async fn send(self, shared: &Shared, ask: &Ask, sent: &Cell<bool>) -> Verdict {
         let Some(request) = self.request(shared, ask) else {
--- a/src/gateway/office.rs
+++ b/src/gateway/office.rs
@@ -192,7 +192,7 @@
 fn demand(shared: &Shared) -> BTreeMap<model::ServiceName, Vec<(u16, f32)>> {
     let demand = shared.demand.borrow();
     let list = demand.iter().map(|(service, buckets)| {
-        let figures = buckets.iter().map(|(&bucket, &work)| (bucket, work));
+        let figures = buckets.iter().map(|(&bucket, &work)| (bucket, work / 2.0));
         (service.clone(), figures.collect())
     });
     list.collect()
@@ -256,6 +256,7 @@
 }
 
 async fn carry_out(shared: Rc<Shared>, machine: Steward, action: steward::Action) {
+    log::debug!("steward: {action:?}");
     match action {
         steward::Action::Append { table, end } => append(&shared, &machine, &table, end).await,
         steward::Action::Read => {
@@ -312,7 +313,7 @@
             .borrow_mut()
             .on_ordered(clock::now(), call, steward::Reply::Silent);
     };
-    if !machine.borrow().may_act(clock::now()) {
+    if !machine.borrow_mut().may_send(clock::now(), call) {
         return machine
             .borrow_mut()
             .on_ordered(clock::now(), call, steward::Reply::Silent);
@@ -339,6 +340,7 @@
         Ok(Err(client::Failure::Refused)) => steward::Reply::Refused,
         _ => steward::Reply::Silent,
     };
+    log::debug!("order {call} to target {}: {reply:?}", owner.target);
     machine.borrow_mut().on_ordered(clock::now(), call, reply);
 }
 
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -264,11 +264,12 @@
     let mut demand = shared.demand.borrow_mut();
     let mut load = BTreeMap::new();
     for (service, buckets) in demand.iter_mut() {
-        let mut figures: Figures = buckets.iter().map(|(&b, &work)| (b, work)).collect();
+        let mut figures: Figures = buckets.iter().map(|(&b, &work)| (b, work / 2.0)).collect();
         figures.sort_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cmp(&b.0)));
         figures.truncate(BUCKETS);
         load.insert(service.clone(), figures);
-        // What was counted loses half of its weight each second.
+        // What was counted loses half of its weight each second, so that the sum
+        // is twice the rate.
         buckets.retain(|_, work| {
             *work *= 0.5;
             *work > 1.0
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -47,8 +47,8 @@
     pub splits: RefCell<catalog::Splits>,
     /// Work of each route, in milliseconds.
     pub work: RefCell<HashMap<Arc<str>, f64>>,
-    /// Retry budget of each service.
-    pub retries: RefCell<HashMap<model::ServiceName, quota::Retry>>,
+    /// Budgets of retries and of hedges of each service.
+    pub retries: RefCell<HashMap<model::ServiceName, (quota::Retry, quota::Retry)>>,
     /// Requests to cold targets.
     pub cold: RefCell<HashMap<choice::Life, quota::Cold>>,
     /// Newest key table that this daemon knows.
