--- /dev/null
+++ b/src/gateway/steward/orders.rs
@@ -0,0 +1,239 @@
+//! Orders to targets, and how long their leases may last.
+
+use std::sync::Arc;
+
+use crate::clock;
+use crate::gateway::dialect;
+use crate::gateway::keys;
+use crate::model;
+
+impl super::Steward {
+    /// Returns whether the order `call` may be sent now, and takes `now` as the
+    /// time of sending.
+    ///
+    /// The caller asks immediately before it sends the order and does not send
+    /// it if the answer is no; it then reports [`super::Reply::Silent`]. Waits for
+    /// leases count from this time.
+    pub fn may_send(&mut self, now: clock::Millis, call: u64) -> bool {
+        let allowed = self.may_act(now);
+        let Some(entry) = self.calls.get_mut(&call) else {
+            return false;
+        };
+        let current = |order: &super::Order| order.call == Some(call);
+        if !allowed || entry.sent.is_some() || !self.orders.get(&entry.id).is_some_and(current) {
+            return false;
+        }
+        entry.sent = Some(now);
+        if let Some(lease) = entry.lease {
+            let (service, range, _) = &entry.id;
+            let key = (service.clone(), entry.owner.clone(), *range);
+            let until = self.holds.entry(key).or_default();
+            *until = (*until).max(now + super::longest(lease));
+        }
+        true
+    }
+
+    /// Takes what became of an order. Each order polled has to be reported once.
+    pub fn on_ordered(&mut self, now: clock::Millis, call: u64, reply: super::Reply) {
+        let Some(entry) = self.calls.remove(&call) else {
+            return;
+        };
+        let order = self.orders.get_mut(&entry.id);
+        let mut order = order.filter(|order| order.call == Some(call));
+        let retry = match reply {
+            super::Reply::Silent => super::RETRY,
+            _ => super::RENEWAL,
+        };
+        if let Some(order) = &mut order {
+            order.call = None;
+            order.next = order.next.min(now + retry);
+        }
+        self.due = now;
+        let Some(sent) = entry.sent else {
+            return;
+        };
+        match (reply, order) {
+            (super::Reply::Done(token), Some(order)) if entry.lease.is_none() => {
+                order.settled.get_or_insert(now);
+                self.tidy.get_or_insert(now + super::TIDY);
+                self.dirty = true;
+                order.handover = token;
+                order.next = now;
+                self.quiet.remove(&entry.owner);
+            }
+            (super::Reply::Done(_), order) => {
+                if let Some(order) = order {
+                    order.handover = None;
+                    order.next = sent + super::RENEWAL;
+                }
+                self.quiet.remove(&entry.owner);
+            }
+            (super::Reply::Fenced, order) => {
+                if let Some(order) = order {
+                    order.fenced = entry.lease.is_some();
+                    self.dirty |= order.fenced;
+                    order.next = sent + super::RENEWAL;
+                }
+                self.quiet.remove(&entry.owner);
+            }
+            (super::Reply::Refused, _) => {
+                self.holds.retain(|(_, owner, _), _| *owner != entry.owner);
+                self.unanswered(now, sent, &entry.owner).refused = true;
+            }
+            (super::Reply::Rejected | super::Reply::Silent, _) => {
+                self.unanswered(now, sent, &entry.owner);
+            }
+        }
+    }
+
+    pub(super) fn unanswered(
+        &mut self,
+        now: clock::Millis,
+        sent: clock::Millis,
+        owner: &keys::Owner,
+    ) -> &mut super::Quiet {
+        let quiet = self.quiet.entry(owner.clone()).or_insert(super::Quiet {
+            since: sent,
+            given: now,
+            last: now,
+            again: false,
+            refused: false,
+        });
+        self.dirty = true;
+        quiet.last = now;
+        quiet.again |= sent >= quiet.given;
+        quiet
+    }
+
+    /// Returns when the leases that `owner` may hold on keys of `range` have ended.
+    pub(super) fn free_at(
+        &self,
+        service: &model::ServiceName,
+        owner: &keys::Owner,
+        range: dialect::Range,
+    ) -> clock::Millis {
+        let holds = self.holds.iter().filter(|((of, by, held), _)| {
+            let overlap = held.first <= range.last && range.first <= held.last;
+            of == service && by == owner && overlap
+        });
+        let own = holds.map(|(_, until)| *until).max().unwrap_or_default();
+        own.max(self.foreign.unwrap_or_default())
+    }
+
+    /// Returns whether the previous owner of a run holds nothing any more.
+    pub(super) fn is_free(
+        &self,
+        now: clock::Millis,
+        service: &model::ServiceName,
+        prior: &keys::Owner,
+        range: dialect::Range,
+    ) -> bool {
+        match self.standing(now, service, prior) {
+            super::Standing::Lost | super::Standing::Reborn(_) => true,
+            _ => now >= self.free_at(service, prior, range),
+        }
+    }
+
+    pub(super) fn order(&mut self, now: clock::Millis, actions: &mut Vec<super::Action>) {
+        let confirmed = self.log.confirmed.unwrap_or_default();
+        let outage = now.since(confirmed) >= super::OUTAGE;
+        if now < self.due && outage == self.outage {
+            return;
+        }
+        let Some(table) = self.log.table.take() else {
+            return;
+        };
+        self.outage = outage;
+        self.due = now + super::IDLE;
+        for (service, runs) in &table.services {
+            for run in runs {
+                actions.extend(self.order_run(now, service, run, outage));
+            }
+        }
+        self.log.table = Some(table);
+    }
+
+    pub(super) fn order_run(
+        &mut self,
+        now: clock::Millis,
+        service: &model::ServiceName,
+        run: &keys::Run,
+        outage: bool,
+    ) -> Option<super::Action> {
+        let id = (service.clone(), run.range, run.fence);
+        let mut order = self.orders.get(&id)?.clone();
+        if let (Some(prior), None) = (&run.prior, order.settled)
+            && self.is_free(now, service, prior, run.range)
+        {
+            order.settled = Some(now);
+            self.tidy.get_or_insert(now + super::TIDY);
+            self.dirty = true;
+            order.call = None;
+            order.next = now;
+        }
+        let asks = run.prior.is_some() && order.settled.is_none();
+        let lengthen = outage && !order.long && !asks;
+        if !outage {
+            order.long = false;
+        }
+        let due = (order.call.is_none() && now >= order.next) || lengthen;
+        let owner = if asks { &run.prior } else { &run.owner };
+        let blank = !asks && now < self.blank;
+        let action = match owner {
+            Some(owner) if due && !blank => {
+                self.last += 1;
+                order.call = Some(self.last);
+                order.next = now + super::RENEWAL;
+                order.long = outage && !asks;
+                let lease = if outage { super::LONGEST } else { super::HOLD };
+                let call = super::Call {
+                    id: id.clone(),
+                    owner: owner.clone(),
+                    lease: (!asks).then_some(lease),
+                    sent: None,
+                };
+                Some(self.action(call, order.handover.clone()))
+            }
+            _ => None,
+        };
+        if order.call.is_none() {
+            let next = if blank { self.blank } else { order.next };
+            self.due = self.due.min(next);
+        }
+        if let (Some(prior), None) = (&run.prior, order.settled) {
+            self.due = self.due.min(self.free_at(service, prior, run.range));
+        }
+        self.orders.insert(id, order);
+        action
+    }
+
+    pub(super) fn action(
+        &mut self,
+        call: super::Call,
+        handover: Option<Arc<str>>,
+    ) -> super::Action {
+        let (service, range, fence) = call.id.clone();
+        let owner = call.owner.clone();
+        let lease = call.lease;
+        self.calls.insert(self.last, call);
+        match lease {
+            Some(lease) => super::Action::Grant {
+                call: self.last,
+                service,
+                owner,
+                grant: dialect::Grant {
+                    range,
+                    fence,
+                    lease,
+                    handover,
+                },
+            },
+            None => super::Action::Release {
+                call: self.last,
+                service,
+                owner,
+                release: dialect::Release { range, fence },
+            },
+        }
+    }
+}
--- a/src/gateway/steward/plan.rs
+++ b/src/gateway/steward/plan.rs
@@ -16,7 +16,8 @@
 const SLACK: f64 = 1.1;
 /// Surplus over the fair share, relative to the mean, from which keys move.
 const SURPLUS: f64 = 0.25;
-/// Least part of the busiest target's load that a move must remove.
+/// Least part of a target's load that a move must remove, or of a new target's
+/// fair share that it must add.
 const RELIEF: f64 = 0.1;
 
 /// A target that may receive keys.
@@ -183,15 +184,16 @@
     let mut moves = Vec::new();
     let empty: Vec<usize> = (0..seats.len()).filter(|&i| scale.load[i] == 0.0).collect();
     for seat in empty {
-        for _ in 0..2 {
+        for parts in [2.0, 1.0] {
             let want = -scale.surplus(seat);
-            if want < scale.fair[seat] * LEAST {
+            if want < scale.fair[seat] * RELIEF {
                 break;
             }
             let Some((piece, donor)) = donor(&free, seats, &scale, work) else {
                 break;
             };
-            let amount = want.min(scale.surplus(donor).max(scale.load[donor] / 2.0));
+            let even = (want / parts).min(scale.load[donor] / 2.0);
+            let amount = want.min(scale.surplus(donor).max(even));
             let Some(range) = tail(free[piece].range, amount, work) else {
                 break;
             };
--- a/tests/gateway_steward.rs
+++ b/tests/gateway_steward.rs
@@ -1,1 +1,479 @@
-//! The steward against a model of the log and of targets that check fences and leases.
+//! The steward in directed cases, and against a model of the log and of
+//! targets that check fences and leases.
+
+#[path = "gateway_steward/model.rs"]
+mod world;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use pistachiomoor::clock::Millis;
+use pistachiomoor::gateway::dialect;
+use pistachiomoor::gateway::keys;
+use pistachiomoor::gateway::steward;
+use pistachiomoor::model;
+use proptest::strategy::Strategy;
+use proptest::test_runner;
+
+fn owner(name: &str, birth: u64) -> keys::Owner {
+    keys::Owner {
+        target: name.into(),
+        birth,
+    }
+}
+
+fn member(name: &str, weight: f64, state: steward::MemberState) -> steward::Member {
+    steward::Member {
+        owner: owner(name, 1),
+        service: "s".into(),
+        domain: "d".into(),
+        weight,
+        state,
+    }
+}
+
+fn ready(name: &str) -> steward::Member {
+    member(name, 1.0, steward::MemberState::Ready)
+}
+
+fn services() -> steward::Services {
+    BTreeMap::from([("s".into(), None)])
+}
+
+/// One steward whose log answers at once.
+struct Rig {
+    steward: steward::Steward,
+    now: u64,
+    end: u64,
+    log_up: bool,
+    tables: Vec<keys::Table>,
+}
+
+impl Rig {
+    fn new(members: Vec<steward::Member>) -> Self {
+        let incarnation = model::Incarnation(1);
+        let mut steward = steward::Steward::new("h0".into(), incarnation, Millis(0));
+        steward.on_targets(Millis(0), members, services());
+        Self {
+            steward,
+            now: 0,
+            end: 0,
+            log_up: true,
+            tables: Vec::new(),
+        }
+    }
+
+    /// Polls, answers for the log, and returns orders that may be sent.
+    fn step(&mut self) -> Vec<steward::Action> {
+        let now = Millis(self.now);
+        let mut orders = Vec::new();
+        for action in self.steward.poll(now, 0) {
+            match action {
+                steward::Action::Read if self.log_up && self.end == 0 => {
+                    self.steward.on_end(now, now, model::Offset(0));
+                }
+                steward::Action::Read if self.log_up => {
+                    self.steward.on_confirmed(now, model::Offset(self.end));
+                }
+                steward::Action::Read => {}
+                steward::Action::Append { table, end } => {
+                    assert_eq!(end.0, self.end);
+                    self.tables.push(keys::Table::decode(&table).unwrap());
+                    self.end += 1;
+                    let written = dialect::Appended::Written(end);
+                    self.steward.on_appended(now, Some(written));
+                }
+                steward::Action::Grant { call, .. } | steward::Action::Release { call, .. } => {
+                    if self.steward.may_send(now, call) {
+                        orders.push(action);
+                    }
+                }
+            }
+        }
+        orders
+    }
+
+    /// Runs for `time` ms; `reply` answers orders at once. Returns all orders
+    /// with their times.
+    fn run(
+        &mut self,
+        time: u64,
+        mut reply: impl FnMut(&steward::Action) -> Option<steward::Reply>,
+    ) -> Vec<(u64, steward::Action)> {
+        let mut orders = Vec::new();
+        for _ in 0..time {
+            for action in self.step() {
+                let call = call_of(&action);
+                if let Some(reply) = reply(&action) {
+                    self.steward.on_ordered(Millis(self.now), call, reply);
+                }
+                orders.push((self.now, action));
+            }
+            self.now += 1;
+        }
+        orders
+    }
+
+    fn runs(&self) -> Vec<keys::Run> {
+        self.steward.table().unwrap().services[&"s".into()].clone()
+    }
+
+    fn keys_of(&self, name: &str) -> u32 {
+        let runs = self.runs().into_iter();
+        let own = runs.filter(|run| run.owner.as_ref().unwrap().target.as_str() == name);
+        own.map(|run| run.range.len()).sum()
+    }
+}
+
+fn call_of(action: &steward::Action) -> u64 {
+    match action {
+        steward::Action::Grant { call, .. } | steward::Action::Release { call, .. } => *call,
+        steward::Action::Append { .. } | steward::Action::Read => unreachable!("not an order"),
+    }
+}
+
+fn done(_: &steward::Action) -> Option<steward::Reply> {
+    Some(steward::Reply::Done(None))
+}
+
+/// Guards against a first table with gaps, against the weights, or with many runs.
+#[test]
+fn poll_first_table() {
+    let heavy = member("b", 3.0, steward::MemberState::Ready);
+    let mut rig = Rig::new(vec![ready("a"), heavy]);
+    let orders = rig.run(10, done);
+    let runs = rig.runs();
+    assert_eq!(runs.len(), 2);
+    assert!(runs.iter().all(|run| run.fence == 1 && run.prior.is_none()));
+    assert!(rig.keys_of("a").abs_diff(16_384) <= 64, "{runs:?}");
+    assert_eq!(orders.len(), 2);
+    assert!(orders[0].0 <= 2, "the first grants are given at once");
+}
+
+/// Guards against waiting for warm targets when all are cold.
+#[test]
+fn poll_first_table_all_cold() {
+    let mut rig = Rig::new(vec![member("a", 1.0, steward::MemberState::Cold)]);
+    rig.run(10, done);
+    assert_eq!(rig.keys_of("a"), 65_536);
+}
+
+/// Guards against a takeover that moves keys, changes fences, or ignores ranks.
+#[test]
+fn poll_takeover_keeps_owners() {
+    let mut rig = Rig::new(vec![ready("a"), ready("b")]);
+    rig.run(10, done);
+    let old = rig.steward.table().unwrap().clone();
+    for rank in [0, 2] {
+        let incarnation = model::Incarnation(2);
+        let mut other = steward::Steward::new("h1".into(), incarnation, Millis(0));
+        other.on_targets(Millis(0), vec![ready("a"), ready("b")], services());
+        let (offset, end) = (model::Offset(0), model::Offset(1));
+        other.poll(Millis(0), rank);
+        other.on_record(Millis(5), Millis(0), offset, end, Some(old.clone()));
+        let beat = |other: &mut steward::Steward, now| {
+            other.on_heartbeat(now, "h0".into(), model::Incarnation(1), offset, Some(0));
+        };
+        beat(&mut other, Millis(100));
+        let mut taken = None;
+        for now in (100..3_000).map(Millis) {
+            for action in other.poll(now, rank) {
+                match action {
+                    steward::Action::Read => other.on_confirmed(now, end),
+                    steward::Action::Append { table, .. } => taken = taken.or(Some((now, table))),
+                    order => panic!("an order without the right: {order:?}"),
+                }
+            }
+        }
+        let (at, table) = taken.expect("nobody took over");
+        let table = keys::Table::decode(&table).unwrap();
+        assert_eq!(table.services, old.services);
+        assert_eq!(table.host.as_str(), "h1");
+        let due = 1_100 + 150 * u64::from(rank);
+        assert!((due..due + 5).contains(&at.0), "took over at {at:?}");
+    }
+}
+
+/// Guards against acting on a record that is known to be replaced.
+#[test]
+fn on_heartbeat_higher_offset_ends_right() {
+    let mut rig = Rig::new(vec![ready("a")]);
+    rig.run(10, done);
+    assert!(rig.steward.may_act(Millis(rig.now)));
+    let (incarnation, offset) = (model::Incarnation(9), model::Offset(1));
+    rig.steward
+        .on_heartbeat(Millis(rig.now), "h1".into(), incarnation, offset, None);
+    assert!(!rig.steward.may_act(Millis(rig.now)));
+    assert!(rig.step().is_empty());
+}
+
+/// Guards against leases that end during an outage of the log, and against
+/// orders after the right has ended.
+#[test]
+fn poll_outage_lengthens_leases() {
+    let mut rig = Rig::new(vec![ready("a"), ready("b")]);
+    rig.run(2_500, done);
+    rig.log_up = false;
+    let confirmed = rig.now - rig.steward.confirmed_age(Millis(rig.now)).unwrap();
+    let orders = rig.run(4_000, done);
+    let long = orders.iter().filter(|(_, order)| {
+        matches!(order, steward::Action::Grant { grant, .. } if grant.lease == steward::LONGEST)
+    });
+    let times: Vec<u64> = long.map(|(at, _)| *at).collect();
+    assert_eq!(&times[..2], &[confirmed + 1_400; 2]);
+    let last = orders.last().unwrap().0;
+    assert!(last < confirmed + steward::RIGHT, "an order at {last}");
+}
+
+/// Guards against a target that joins and stays empty, or that gets many runs.
+#[test]
+fn poll_join_gets_share() {
+    let mut rig = Rig::new(vec![ready("a"), ready("b")]);
+    rig.run(6_000, done);
+    let members = vec![ready("a"), ready("b"), ready("c")];
+    rig.steward.on_targets(Millis(rig.now), members, services());
+    rig.run(2_500, done);
+    assert!(
+        rig.keys_of("c").abs_diff(65_536 / 3) < 1_500,
+        "{:?}",
+        rig.runs()
+    );
+    let runs = rig.runs().into_iter();
+    assert!(runs.filter(|run| run.owner == Some(owner("c", 1))).count() <= 2);
+}
+
+/// Guards against a run that is split for load and never relieves its owner.
+#[test]
+fn poll_load_moves_part() {
+    let mut rig = Rig::new(vec![ready("a"), ready("b")]);
+    rig.run(6_000, done);
+    let hot: Vec<(u16, f32)> = (0..20).map(|bucket| (bucket, 50.0)).collect();
+    rig.steward
+        .on_load(Millis(rig.now), "h1".into(), "s".into(), hot);
+    rig.run(2_500, done);
+    let hot = rig
+        .runs()
+        .into_iter()
+        .filter(|run| run.range.first < 20 * 64);
+    let owners: std::collections::BTreeSet<_> = hot.map(|run| run.owner).collect();
+    assert_eq!(owners.len(), 2, "{:?}", rig.runs());
+}
+
+/// Guards against a grant before the release is acknowledged, a lost handover
+/// token, and a previous owner that stays in the table.
+#[test]
+fn poll_move_hands_over() {
+    let mut rig = Rig::new(vec![ready("a"), ready("b")]);
+    rig.run(6_000, done);
+    let leaving = member("a", 1.0, steward::MemberState::Leaving);
+    let members = vec![leaving, ready("b")];
+    rig.steward.on_targets(Millis(rig.now), members, services());
+    let orders = rig.run(50, |order| match order {
+        steward::Action::Release { .. } => None,
+        _ => Some(steward::Reply::Done(None)),
+    });
+    let releases: Vec<_> = orders
+        .iter()
+        .filter(|(_, order)| is_release(order))
+        .collect();
+    let [(_, release)] = &releases[..] else {
+        panic!("expected one release, found {releases:?}");
+    };
+    let prior = rig
+        .runs()
+        .into_iter()
+        .find(|run| run.prior.is_some())
+        .unwrap();
+    assert_eq!(prior.fence, rig.end);
+    let granted = |orders: &[(u64, steward::Action)]| {
+        let mut grants = orders.iter();
+        grants.any(|(_, order)| grant_of(order).is_some_and(|grant| grant.fence == prior.fence))
+    };
+    assert!(!granted(&orders), "granted while the release was under way");
+    let token: Arc<str> = "token".into();
+    let reply = steward::Reply::Done(Some(token.clone()));
+    rig.steward
+        .on_ordered(Millis(rig.now), call_of(release), reply);
+    let orders = rig.run(1_500, done);
+    let grant = orders.iter().find_map(|(_, order)| grant_of(order));
+    assert_eq!(grant.unwrap().handover, Some(token));
+    assert_eq!(rig.keys_of("b"), 65_536);
+    assert!(rig.runs().iter().all(|run| run.prior.is_none()));
+}
+
+fn is_release(order: &steward::Action) -> bool {
+    matches!(order, steward::Action::Release { .. })
+}
+
+fn grant_of(order: &steward::Action) -> Option<&dialect::Grant> {
+    match order {
+        steward::Action::Grant { grant, .. } => Some(grant),
+        _ => None,
+    }
+}
+
+fn is_for(order: &steward::Action, name: &str) -> bool {
+    match order {
+        steward::Action::Grant { owner, .. } | steward::Action::Release { owner, .. } => {
+            owner.target.as_str() == name
+        }
+        _ => false,
+    }
+}
+
+/// Guards against a wait for a silent owner that is too short (two owners) or
+/// too long (keys without an owner).
+#[test]
+fn poll_silent_owner_waits_exactly() {
+    let mut rig = Rig::new(vec![ready("a"), ready("b")]);
+    // The time in which leases of an earlier steward may last does not apply:
+    // this steward wrote the first record.
+    rig.run(6_000, done);
+    let moved = rig
+        .runs()
+        .into_iter()
+        .find(|run| run.owner == Some(owner("a", 1)));
+    let range = moved.unwrap().range;
+    let silent = |order: &steward::Action| {
+        let silent = is_for(order, "a");
+        Some(if silent {
+            steward::Reply::Silent
+        } else {
+            steward::Reply::Done(None)
+        })
+    };
+    let orders = rig.run(8_000, silent);
+    let grants_to_a = orders
+        .iter()
+        .filter(|(_, o)| is_for(o, "a") && grant_of(o).is_some());
+    let last = grants_to_a.map(|(at, _)| *at).max().unwrap();
+    let taken = orders.iter().find(|(_, o)| {
+        is_for(o, "b") && grant_of(o).is_some_and(|grant| grant.range.contains(range.first))
+    });
+    assert_eq!(taken.unwrap().0, last + 3_062 + 300);
+    assert!(
+        orders.iter().any(|(_, o)| is_release(o)),
+        "it was not asked"
+    );
+}
+
+/// Guards against a wait for a process that has ended.
+#[test]
+fn poll_refused_or_reborn_moves_at_once() {
+    let mut rig = Rig::new(vec![ready("a"), ready("b")]);
+    rig.run(6_000, done);
+    let refused = |order: &steward::Action| {
+        let refused = is_for(order, "a");
+        Some(if refused {
+            steward::Reply::Refused
+        } else {
+            steward::Reply::Done(None)
+        })
+    };
+    rig.run(1_100, refused);
+    assert_eq!(rig.keys_of("b"), 65_536);
+    let mut reborn = ready("b");
+    reborn.owner.birth = 2;
+    let fence = rig.runs()[0].fence;
+    rig.steward
+        .on_targets(Millis(rig.now), vec![reborn], services());
+    let orders = rig.run(5, done);
+    let run = &rig.runs()[0];
+    assert_eq!(
+        (&run.owner, run.prior.is_none()),
+        (&Some(owner("b", 2)), true)
+    );
+    assert!(run.fence > fence && grant_of(&orders[0].1).is_some());
+}
+
+/// Guards against a fence that is refused for ever.
+#[test]
+fn on_ordered_fenced_raises_fence() {
+    let mut rig = Rig::new(vec![ready("a")]);
+    let orders = rig.run(3_000, |order| {
+        let low = grant_of(order).is_some_and(|grant| grant.fence < 2);
+        Some(if low {
+            steward::Reply::Fenced
+        } else {
+            steward::Reply::Done(None)
+        })
+    });
+    assert_eq!(rig.runs()[0].fence, 2);
+    assert!(orders.len() >= 3, "{orders:?}");
+}
+
+/// Guards against two appends of which both may take effect.
+#[test]
+fn on_appended_unanswered_reads_first() {
+    let mut rig = Rig::new(vec![ready("a")]);
+    let now = Millis(0);
+    rig.steward.poll(now, 0);
+    rig.steward.on_end(now, now, model::Offset(0));
+    let first = rig.steward.poll(now, 0);
+    assert!(matches!(first[..], [steward::Action::Append { .. }]));
+    assert!(rig.steward.poll(Millis(10), 0).is_empty());
+    rig.steward.on_appended(Millis(20), None);
+    assert_eq!(rig.steward.poll(Millis(20), 0), [steward::Action::Read]);
+    rig.steward.on_end(Millis(30), Millis(20), model::Offset(0));
+    let again = rig.steward.poll(Millis(30), 0);
+    assert!(matches!(again[..], [steward::Action::Append { .. }]));
+}
+
+/// Guards against a table with gaps or overlaps that is taken from the log.
+#[test]
+fn decode_gap_and_overlap() {
+    let run = |first, last| keys::Run {
+        range: dialect::Range { first, last },
+        ..keys::Run::unowned()
+    };
+    let table = |runs| keys::Table {
+        host: "h".into(),
+        incarnation: model::Incarnation(1),
+        services: BTreeMap::from([("s".into(), runs)]),
+    };
+    let sound = table(vec![run(0, 99), run(100, u16::MAX)]);
+    assert_eq!(keys::Table::decode(&sound.encode()), Ok(sound.clone()));
+    assert_eq!(sound.run_of(&"s".into(), 100).unwrap().range.first, 100);
+    for runs in [
+        vec![],
+        vec![run(0, 99), run(101, u16::MAX)],
+        vec![run(0, 100), run(100, u16::MAX)],
+        vec![run(0, 99)],
+        vec![run(0, u16::MAX), run(0, u16::MAX)],
+    ] {
+        let bytes = table(runs).encode();
+        assert!(keys::Table::decode(&bytes).is_err());
+    }
+    assert!(keys::Table::decode(b"x").is_err());
+}
+
+/// Guards against two owners of one key, fences that do not rise, and keys
+/// that stay without an owner, under faults of every kind.
+#[test]
+fn poll_random_faults() {
+    let cases = std::env::var("STEWARD_CASES").ok();
+    let cases = cases.and_then(|cases| cases.parse().ok()).unwrap_or(60);
+    let config = test_runner::Config {
+        cases,
+        failure_persistence: None,
+        max_shrink_iters: 200,
+        ..test_runner::Config::default()
+    };
+    let mut seed = [7; 32];
+    if let Some(first) = std::env::var("STEWARD_SEED")
+        .ok()
+        .and_then(|s| s.parse().ok())
+    {
+        seed[0] = first;
+    }
+    let rng = test_runner::TestRng::from_seed(test_runner::RngAlgorithm::ChaCha, &seed);
+    let mut runner = test_runner::TestRunner::new_with_rng(config, rng);
+    let faults = proptest::collection::vec(world::fault(), 0..14);
+    let strategy = (proptest::num::u64::ANY, 2..4_usize, faults);
+    let check = |(seed, daemons, faults): (u64, usize, Vec<world::Fault>)| {
+        world::World::new(seed, daemons, &faults)
+            .run()
+            .map_err(test_runner::TestCaseError::fail)
+    };
+    runner.run(&strategy.boxed(), check).unwrap();
+}
--- /dev/null
+++ b/tests/gateway_steward/model.rs
@@ -0,0 +1,630 @@
+//! Model of the platform: a log with conditional append, targets that check
+//! fences and leases, and daemons that may be paused between poll and sending.
+
+use std::collections::BTreeMap;
+
+use pistachiomoor::clock::Millis;
+use pistachiomoor::gateway::dialect;
+use pistachiomoor::gateway::keys;
+use pistachiomoor::gateway::steward;
+use pistachiomoor::model;
+use proptest::prelude::*;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+const BUCKETS: usize = 1_024;
+const TARGETS: usize = 4;
+/// Time up to which faults begin, in milliseconds.
+const FAULTS: u64 = 20_000;
+/// Time within which every key is held once faults are over, in milliseconds.
+const RECOVERY: u64 = 15_000;
+const ORDER_TIMEOUT: u64 = 500;
+const LOG_TIMEOUT: u64 = 1_000;
+
+/// What goes wrong.
+#[derive(Clone, Copy, Debug)]
+pub enum Kind {
+    LogDown,
+    LogSlow,
+    LogRefuses(usize),
+    AppendsUnanswered,
+    DaemonKilled(usize),
+    DaemonPaused(usize),
+    HeartbeatsLost,
+    TargetKilled(usize),
+    TargetSilent(usize),
+    TargetLate(usize),
+    TargetLeaves(usize),
+}
+
+/// A fault, the time at which it begins and its length, in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Fault {
+    at: u64,
+    length: u64,
+    kind: Kind,
+}
+
+impl Fault {
+    fn is_on(&self, now: u64) -> bool {
+        (self.at..self.at + self.length).contains(&now)
+    }
+}
+
+/// Returns any fault.
+pub fn fault() -> impl Strategy<Value = Fault> {
+    let daemon = 0..3_usize;
+    let target = 0..TARGETS;
+    let kind = prop_oneof![
+        1 => Just(Kind::LogDown),
+        1 => Just(Kind::LogSlow),
+        1 => daemon.clone().prop_map(Kind::LogRefuses),
+        1 => Just(Kind::AppendsUnanswered),
+        1 => daemon.clone().prop_map(Kind::DaemonKilled),
+        2 => daemon.prop_map(Kind::DaemonPaused),
+        1 => Just(Kind::HeartbeatsLost),
+        1 => target.clone().prop_map(Kind::TargetKilled),
+        2 => target.clone().prop_map(Kind::TargetSilent),
+        2 => target.clone().prop_map(Kind::TargetLate),
+        1 => target.prop_map(Kind::TargetLeaves),
+    ];
+    let times = (0..FAULTS, 100..8_000_u64);
+    (times, kind).prop_map(|((at, length), kind)| Fault { at, length, kind })
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Wake(usize, u64),
+    Beat(usize, u64),
+    List(usize, u64),
+    Send(usize, u64, steward::Action),
+    Arrive(usize, u64, steward::Action),
+    /// An order that arrived at the time given takes effect.
+    Apply(usize, u64, steward::Action, u64, u64),
+    Reply(usize, u64, u64, steward::Reply),
+    Append(usize, u64, Vec<u8>, u64, bool),
+    Appended(usize, u64, Option<dialect::Appended>),
+    Read(usize, u64, u64),
+    ReadDone(usize, u64, u64, Option<(u64, Vec<u8>)>, u64),
+    Unread(usize, u64),
+    Heard(usize, usize, u64, Option<(u64, Option<u64>)>),
+    DaemonStarts(usize),
+    TargetStarts(usize),
+    TargetStops(usize),
+}
+
+struct Daemon {
+    life: u64,
+    alive: bool,
+    steward: steward::Steward,
+    heard: Vec<u64>,
+    /// Number of the last append or read; answers to given-up ones are dropped.
+    waking: u64,
+}
+
+struct Target {
+    birth: u64,
+    alive: bool,
+    warm: u64,
+    /// Real time per millisecond of the target's clock.
+    rate: f64,
+    fences: Vec<u64>,
+    until: Vec<u64>,
+}
+
+/// The platform, its daemons and its targets.
+pub struct World {
+    now: u64,
+    rng: StdRng,
+    faults: Vec<Fault>,
+    over: u64,
+    events: BTreeMap<(u64, u64), Event>,
+    count: u64,
+    records: Vec<Vec<u8>>,
+    daemons: Vec<Daemon>,
+    targets: Vec<Target>,
+    /// Last holder of each bucket: target, birth and fence.
+    holders: Vec<Option<(usize, u64, u64)>>,
+    broken: Option<String>,
+}
+
+fn host(daemon: usize) -> model::HostName {
+    format!("h{daemon}").as_str().into()
+}
+
+fn target_of(owner: &keys::Owner) -> usize {
+    owner.target.as_str()[1..].parse().unwrap()
+}
+
+fn buckets(range: dialect::Range) -> std::ops::RangeInclusive<usize> {
+    usize::from(range.first) / 64..=usize::from(range.last) / 64
+}
+
+impl World {
+    /// Returns a world in which `faults` happen.
+    pub fn new(seed: u64, daemons: usize, faults: &[Fault]) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let ends = faults.iter().map(|fault| fault.at + fault.length);
+        let daemon = |i| Daemon {
+            life: 1,
+            alive: true,
+            steward: steward::Steward::new(host(i), model::Incarnation(1), Millis(0)),
+            heard: vec![0; daemons],
+            waking: 0,
+        };
+        let targets = (0..TARGETS).map(|_| Target {
+            birth: 1,
+            alive: true,
+            warm: 0,
+            rate: 1.0 / rng.random_range(0.98..=1.0),
+            fences: vec![0; BUCKETS],
+            until: vec![0; BUCKETS],
+        });
+        let targets = targets.collect();
+        let mut world = Self {
+            now: 0,
+            rng,
+            faults: faults.to_vec(),
+            over: ends.max().unwrap_or(0),
+            events: BTreeMap::new(),
+            count: 0,
+            records: Vec::new(),
+            daemons: (0..daemons).map(daemon).collect(),
+            targets,
+            holders: vec![None; BUCKETS],
+            broken: None,
+        };
+        for i in 0..daemons {
+            world.start(i);
+        }
+        for fault in faults {
+            let (at, end) = (fault.at, fault.at + fault.length);
+            match fault.kind {
+                Kind::DaemonKilled(i) if i < daemons => world.put(end, Event::DaemonStarts(i)),
+                Kind::TargetKilled(i) => {
+                    world.put(at, Event::TargetStops(i));
+                    world.put(end, Event::TargetStarts(i));
+                }
+                _ => {}
+            }
+        }
+        world
+    }
+
+    /// Runs until all keys are held after the last fault.
+    pub fn run(mut self) -> Result<(), String> {
+        let mut next = self.over;
+        while let Some(((at, _), event)) = self.events.pop_first() {
+            while next <= at {
+                self.now = next;
+                if self.is_held() {
+                    return Ok(());
+                }
+                if next > self.over + RECOVERY {
+                    return Err(self.missing());
+                }
+                next += 50;
+            }
+            self.now = at;
+            self.handle(event);
+            if let Some(broken) = self.broken.take() {
+                return Err(format!("at {at} ms: {broken}"));
+            }
+        }
+        Err("no daemon is left".to_owned())
+    }
+
+    fn missing(&self) -> String {
+        let free = (0..BUCKETS).filter(|&b| self.holder(b).is_none()).count();
+        let table = self.records.last().map(|bytes| keys::Table::decode(bytes));
+        format!(
+            "{free} buckets without an owner {RECOVERY} ms after the faults ended at {} ms: {table:?}",
+            self.over
+        )
+    }
+
+    fn is_held(&self) -> bool {
+        (0..BUCKETS).all(|bucket| self.holder(bucket).is_some())
+    }
+
+    fn holder(&self, bucket: usize) -> Option<usize> {
+        let holds = |target: &Target| target.alive && target.until[bucket] > self.now;
+        self.targets.iter().position(holds)
+    }
+
+    fn has(&self, wanted: impl Fn(Kind) -> bool) -> bool {
+        let mut faults = self.faults.iter();
+        faults.any(|fault| fault.is_on(self.now) && wanted(fault.kind))
+    }
+
+    fn put(&mut self, at: u64, event: Event) {
+        self.count += 1;
+        self.events.insert((at, self.count), event);
+    }
+
+    fn start(&mut self, i: usize) {
+        let life = self.daemons[i].life;
+        let now = self.now;
+        self.put(now, Event::List(i, life));
+        self.put(now, Event::Beat(i, life));
+        self.put(now, Event::Wake(i, 0));
+    }
+
+    /// Returns the daemon of an event and its life.
+    fn daemon_of(event: &Event) -> Option<(usize, Option<u64>)> {
+        match event {
+            Event::Wake(i, _) | Event::Heard(i, ..) => Some((*i, None)),
+            Event::Beat(i, life)
+            | Event::List(i, life)
+            | Event::Send(i, life, _)
+            | Event::Reply(i, life, ..)
+            | Event::Appended(i, life, _)
+            | Event::ReadDone(i, life, ..)
+            | Event::Unread(i, life) => Some((*i, Some(*life))),
+            Event::Arrive(..)
+            | Event::Apply(..)
+            | Event::Append(..)
+            | Event::Read(..)
+            | Event::DaemonStarts(_)
+            | Event::TargetStarts(_)
+            | Event::TargetStops(_) => None,
+        }
+    }
+
+    /// Returns whether an event reaches its daemon; one that is paused gets it
+    /// when it goes on.
+    fn reaches(&mut self, event: &Event) -> bool {
+        let Some((i, life)) = Self::daemon_of(event) else {
+            return true;
+        };
+        if self.has(|kind| matches!(kind, Kind::DaemonKilled(k) if k == i)) {
+            self.daemons[i].alive = false;
+        }
+        if !self.daemons[i].alive || life.is_some_and(|life| life != self.daemons[i].life) {
+            return false;
+        }
+        let pauses = self.faults.iter().filter(|fault| {
+            fault.is_on(self.now) && matches!(fault.kind, Kind::DaemonPaused(k) if k == i)
+        });
+        let end = pauses.map(|fault| fault.at + fault.length).max();
+        if let Some(end) = end {
+            self.put(end, event.clone());
+        }
+        end.is_none()
+    }
+
+    fn handle(&mut self, event: Event) {
+        if !self.reaches(&event) {
+            return;
+        }
+        let now = Millis(self.now);
+        match event {
+            Event::Wake(i, number) if number == self.daemons[i].waking => self.poll(i),
+            Event::Wake(..) => {}
+            Event::Beat(i, life) => self.beat(i, life),
+            Event::List(i, life) => self.list(i, life),
+            Event::Send(i, life, action) => self.send(i, life, action),
+            Event::Arrive(i, life, action) => self.arrive(i, life, action),
+            Event::Apply(i, life, action, birth, at) => self.apply(i, life, action, birth, at),
+            Event::Reply(i, _, call, reply) => {
+                self.daemons[i].steward.on_ordered(now, call, reply);
+                self.poll(i);
+            }
+            Event::Append(i, life, table, end, answered) => {
+                self.append(i, life, table, end, answered);
+            }
+            Event::Appended(i, _, answer) => {
+                self.daemons[i].steward.on_appended(now, answer);
+                self.poll(i);
+            }
+            Event::Read(i, life, started) => {
+                let offset = self.records.len().checked_sub(1);
+                let record = offset.map(|offset| (offset as u64, self.records[offset].clone()));
+                let end = self.records.len() as u64;
+                let at = self.now + self.rng.random_range(1..5);
+                self.put(at, Event::ReadDone(i, life, started, record, end));
+            }
+            Event::ReadDone(i, _, started, record, end) => self.read(i, started, record, end),
+            Event::Unread(i, _) => {
+                self.daemons[i].steward.on_unread(now);
+                self.poll(i);
+            }
+            Event::Heard(i, from, life, beat) => self.heard(i, from, life, beat),
+            Event::DaemonStarts(i) => self.restart(i),
+            Event::TargetStops(i) => self.targets[i].alive = false,
+            Event::TargetStarts(i) => {
+                let warm = self.now + 1_500;
+                let target = &mut self.targets[i];
+                target.birth += 1;
+                target.alive = true;
+                target.warm = warm;
+                target.fences.fill(0);
+                target.until.fill(0);
+            }
+        }
+    }
+
+    fn restart(&mut self, i: usize) {
+        if self.has(|kind| matches!(kind, Kind::DaemonKilled(k) if k == i)) {
+            return;
+        }
+        let daemon = &mut self.daemons[i];
+        daemon.life += 1;
+        daemon.alive = true;
+        let incarnation = model::Incarnation(daemon.life);
+        daemon.steward = steward::Steward::new(host(i), incarnation, Millis(self.now));
+        self.start(i);
+    }
+
+    fn poll(&mut self, i: usize) {
+        let rank = (0..i).filter(|&k| self.daemons[i].heard[k] + 2_000 > self.now);
+        let rank = rank.count() as u32;
+        let life = self.daemons[i].life;
+        for action in self.daemons[i].steward.poll(Millis(self.now), rank) {
+            match action {
+                steward::Action::Read => self.begin_read(i, life),
+                steward::Action::Append { table, end } => self.begin_append(i, life, table, end.0),
+                order => {
+                    let at = self.now + self.rng.random_range(0..3);
+                    self.put(at, Event::Send(i, life, order));
+                }
+            }
+        }
+        let wake = self.daemons[i].steward.next_wake(Millis(self.now));
+        self.daemons[i].waking += 1;
+        let number = self.daemons[i].waking;
+        self.put(wake.0.max(self.now + 1), Event::Wake(i, number));
+    }
+
+    fn log_delay(&mut self) -> u64 {
+        if self.has(|kind| matches!(kind, Kind::LogSlow)) {
+            self.rng.random_range(100..300)
+        } else {
+            self.rng.random_range(1..5)
+        }
+    }
+
+    fn is_log_lost(&self, i: usize) -> bool {
+        self.has(|kind| match kind {
+            Kind::LogDown => true,
+            Kind::LogRefuses(k) => k == i,
+            _ => false,
+        })
+    }
+
+    fn begin_read(&mut self, i: usize, life: u64) {
+        let (now, delay) = (self.now, self.log_delay());
+        if self.is_log_lost(i) {
+            self.put(now + LOG_TIMEOUT, Event::Unread(i, life));
+        } else {
+            self.put(now + delay, Event::Read(i, life, now));
+        }
+    }
+
+    fn begin_append(&mut self, i: usize, life: u64, table: Vec<u8>, end: u64) {
+        let (now, delay) = (self.now, self.log_delay());
+        if self.has(|kind| matches!(kind, Kind::LogRefuses(k) if k == i)) {
+            let refused = Some(dialect::Appended::Refused(503));
+            self.put(now + delay, Event::Appended(i, life, refused));
+        } else if self.has(|kind| matches!(kind, Kind::LogDown | Kind::AppendsUnanswered)) {
+            if self.rng.random_bool(0.7) {
+                let effect = now + self.rng.random_range(2..6_000);
+                self.put(effect, Event::Append(i, life, table, end, false));
+            }
+            self.put(now + LOG_TIMEOUT, Event::Appended(i, life, None));
+        } else {
+            self.put(now + delay, Event::Append(i, life, table, end, true));
+        }
+    }
+
+    fn append(&mut self, i: usize, life: u64, table: Vec<u8>, end: u64, answered: bool) {
+        let at = self.records.len() as u64;
+        let answer = if at == end {
+            self.records.push(table);
+            dialect::Appended::Written(model::Offset(at))
+        } else {
+            dialect::Appended::Moved(model::Offset(at))
+        };
+        if answered {
+            let time = self.now + self.rng.random_range(1..5);
+            self.put(time, Event::Appended(i, life, Some(answer)));
+        }
+    }
+
+    fn read(&mut self, i: usize, started: u64, record: Option<(u64, Vec<u8>)>, end: u64) {
+        let (now, started, end) = (Millis(self.now), Millis(started), model::Offset(end));
+        let steward = &mut self.daemons[i].steward;
+        match record {
+            None => steward.on_end(now, started, end),
+            Some((offset, _)) if steward.offset() == Some(model::Offset(offset)) => {
+                steward.on_confirmed(started, end);
+            }
+            Some((offset, bytes)) => {
+                let table = keys::Table::decode(&bytes).ok();
+                steward.on_record(now, started, model::Offset(offset), end, table);
+            }
+        }
+        self.poll(i);
+    }
+
+    fn beat(&mut self, i: usize, life: u64) {
+        let steward = &self.daemons[i].steward;
+        let is_steward = steward.is_steward();
+        let age = steward.confirmed_age(Millis(self.now));
+        let beat = is_steward.then(|| (steward.offset().unwrap().0, age));
+        let lost = self.has(|kind| matches!(kind, Kind::HeartbeatsLost));
+        for k in (0..self.daemons.len()).filter(|&k| k != i) {
+            if !(lost && self.rng.random_bool(0.8)) {
+                let at = self.now + self.rng.random_range(1..3);
+                self.put(at, Event::Heard(k, i, life, beat));
+            }
+        }
+        let period = if is_steward { 250 } else { 1_000 };
+        self.put(self.now + period, Event::Beat(i, life));
+    }
+
+    fn heard(&mut self, i: usize, from: usize, life: u64, beat: Option<(u64, Option<u64>)>) {
+        self.daemons[i].heard[from] = self.now;
+        if let Some((offset, age)) = beat {
+            let (now, incarnation) = (Millis(self.now), model::Incarnation(life));
+            let offset = model::Offset(offset);
+            let steward = &mut self.daemons[i].steward;
+            steward.on_heartbeat(now, host(from), incarnation, offset, age);
+            self.poll(i);
+        }
+    }
+
+    /// Shows a daemon the targets as they are; daemons look about every 0.9 s.
+    fn list(&mut self, i: usize, life: u64) {
+        let state = |k: usize, target: &Target| {
+            if !target.alive {
+                steward::MemberState::Gone
+            } else if self.has(|kind| matches!(kind, Kind::TargetLeaves(t) if t == k)) {
+                steward::MemberState::Leaving
+            } else if self.now < target.warm {
+                steward::MemberState::Cold
+            } else {
+                steward::MemberState::Ready
+            }
+        };
+        let members = self
+            .targets
+            .iter()
+            .enumerate()
+            .map(|(k, target)| steward::Member {
+                owner: keys::Owner {
+                    target: format!("t{k}").as_str().into(),
+                    birth: target.birth,
+                },
+                service: "s".into(),
+                domain: "d".into(),
+                weight: 1.0 + k as f64 / 2.0,
+                state: state(k, target),
+            });
+        let members = members.collect();
+        let services = BTreeMap::from([("s".into(), None)]);
+        let now = Millis(self.now);
+        self.daemons[i].steward.on_targets(now, members, services);
+        let hot = (0..8).map(|_| {
+            (
+                self.rng.random_range(0..1_024),
+                self.rng.random_range(0.0..40.0),
+            )
+        });
+        let hot = hot.collect();
+        self.daemons[i]
+            .steward
+            .on_load(now, host(i), "s".into(), hot);
+        let at = self.now + self.rng.random_range(500..900);
+        self.put(at, Event::List(i, life));
+        self.poll(i);
+    }
+
+    fn send(&mut self, i: usize, life: u64, action: steward::Action) {
+        let (call, _) = parts(&action);
+        if !self.daemons[i].steward.may_send(Millis(self.now), call) {
+            let silent = steward::Reply::Silent;
+            self.put(self.now + 1, Event::Reply(i, life, call, silent));
+            return;
+        }
+        let delay = if self.rng.random_bool(0.1) {
+            self.rng.random_range(1..=200)
+        } else {
+            self.rng.random_range(1..3)
+        };
+        self.put(
+            self.now + ORDER_TIMEOUT,
+            Event::Reply(i, life, call, steward::Reply::Silent),
+        );
+        self.put(self.now + delay, Event::Arrive(i, life, action));
+    }
+
+    fn arrive(&mut self, i: usize, life: u64, action: steward::Action) {
+        let (call, owner) = parts(&action);
+        let k = target_of(&owner);
+        if self.has(|kind| matches!(kind, Kind::TargetSilent(t) if t == k)) {
+            return;
+        }
+        if !self.targets[k].alive || self.targets[k].birth != owner.birth {
+            let refused = steward::Reply::Refused;
+            self.put(self.now + 1, Event::Reply(i, life, call, refused));
+            return;
+        }
+        let late = self.has(|kind| matches!(kind, Kind::TargetLate(t) if t == k));
+        let delay = if late {
+            self.rng.random_range(0..4_000)
+        } else {
+            0
+        };
+        let event = Event::Apply(i, life, action, owner.birth, self.now);
+        self.put(self.now + delay, event);
+    }
+
+    fn apply(&mut self, i: usize, life: u64, action: steward::Action, birth: u64, at: u64) {
+        let (call, owner) = parts(&action);
+        let k = target_of(&owner);
+        if !self.targets[k].alive || self.targets[k].birth != birth {
+            return;
+        }
+        let (reply, delay) = match action {
+            steward::Action::Grant { grant, .. } => (self.grant(k, &grant, at), 1),
+            steward::Action::Release { release, .. } => {
+                let target = &mut self.targets[k];
+                for bucket in buckets(release.range) {
+                    target.fences[bucket] = target.fences[bucket].max(release.fence);
+                    target.until[bucket] = 0;
+                }
+                let work = self.rng.random_range(1..700);
+                (steward::Reply::Done(Some("token".into())), work)
+            }
+            steward::Action::Append { .. } | steward::Action::Read => return,
+        };
+        self.put(self.now + delay, Event::Reply(i, life, call, reply));
+    }
+
+    fn grant(&mut self, k: usize, grant: &dialect::Grant, at: u64) -> steward::Reply {
+        let birth = self.targets[k].birth;
+        let seen = buckets(grant.range).map(|bucket| self.targets[k].fences[bucket]);
+        if seen.max().unwrap_or(0) > grant.fence {
+            return steward::Reply::Fenced;
+        }
+        let until = at + (grant.lease as f64 * self.targets[k].rate) as u64;
+        for bucket in buckets(grant.range) {
+            let target = &mut self.targets[k];
+            target.fences[bucket] = grant.fence;
+            target.until[bucket] = target.until[bucket].max(until);
+            if target.until[bucket] > self.now {
+                self.check(k, birth, bucket, grant.fence);
+            }
+        }
+        steward::Reply::Done(None)
+    }
+
+    fn check(&mut self, k: usize, birth: u64, bucket: usize, fence: u64) {
+        let holds = |(i, target): (usize, &Target)| {
+            i != k && target.alive && target.until[bucket] > self.now
+        };
+        if self.targets.iter().enumerate().any(holds) {
+            let holder = self.holders[bucket];
+            self.broken = Some(format!(
+                "t{k} and another target hold bucket {bucket}, fence {fence}, last {holder:?}"
+            ));
+        }
+        let last = self.holders[bucket].replace((k, birth, fence));
+        let fell =
+            |(i, born, before): (usize, u64, u64)| (i, born) != (k, birth) && before >= fence;
+        if last.is_some_and(fell) {
+            self.broken = Some(format!(
+                "t{k} holds bucket {bucket} with fence {fence} after {last:?}"
+            ));
+        }
+    }
+}
+
+fn parts(action: &steward::Action) -> (u64, keys::Owner) {
+    match action {
+        steward::Action::Grant { call, owner, .. }
+        | steward::Action::Release { call, owner, .. } => (*call, owner.clone()),
+        steward::Action::Append { .. } | steward::Action::Read => unreachable!("not an order"),
+    }
+}
