--- a/tests/gateway_steward.rs
+++ b/tests/gateway_steward.rs
@@ -225,6 +225,47 @@
     assert!(last < confirmed + steward::RIGHT, "an order at {last}");
 }
 
+/// Guards against an order that is sent after a pause, when the right has ended.
+#[test]
+fn may_send_right_ended() {
+    let mut rig = Rig::new(vec![ready("a")]);
+    rig.run(10, done);
+    rig.log_up = false;
+    rig.now = 1_500;
+    let orders = rig.steward.poll(Millis(rig.now), 0);
+    let calls: Vec<u64> = orders
+        .iter()
+        .filter(|o| grant_of(o).is_some())
+        .map(call_of)
+        .collect();
+    assert_eq!(calls.len(), 1);
+    let age = rig.steward.confirmed_age(Millis(rig.now)).unwrap();
+    let end = rig.now - age + steward::RIGHT;
+    let mut paused = rig.steward.clone();
+    assert!(!paused.may_send(Millis(end), calls[0]));
+    assert!(rig.steward.may_send(Millis(end - 1), calls[0]));
+    assert!(
+        !rig.steward.may_send(Millis(end - 1), calls[0]),
+        "sent twice"
+    );
+}
+
+/// Guards against keys that stay in a domain that was taken out.
+#[test]
+fn on_targets_domain_taken_out() {
+    let away = steward::Member {
+        domain: "e".into(),
+        ..ready("b")
+    };
+    let members = vec![ready("a"), away];
+    let mut rig = Rig::new(members.clone());
+    rig.run(6_000, done);
+    let allowed = steward::Services::from([("s".into(), Some(["d".into()].into()))]);
+    rig.steward.on_targets(Millis(rig.now), members, allowed);
+    rig.run(20, done);
+    assert_eq!(rig.keys_of("a"), 65_536);
+}
+
 /// Guards against a target that joins and stays empty, or that gets many runs.
 #[test]
 fn poll_join_gets_share() {
@@ -452,7 +493,7 @@
 #[test]
 fn poll_random_faults() {
     let cases = std::env::var("STEWARD_CASES").ok();
-    let cases = cases.and_then(|cases| cases.parse().ok()).unwrap_or(60);
+    let cases = cases.and_then(|cases| cases.parse().ok()).unwrap_or(200);
     let config = test_runner::Config {
         cases,
         failure_persistence: None,
--- a/tests/gateway_steward/model.rs
+++ b/tests/gateway_steward/model.rs
@@ -35,6 +35,8 @@
     TargetSilent(usize),
     TargetLate(usize),
     TargetLeaves(usize),
+    /// A daemon and a target reach each other and nothing else.
+    Partition(usize, usize),
 }
 
 /// A fault, the time at which it begins and its length, in milliseconds.
@@ -61,12 +63,13 @@
         1 => daemon.clone().prop_map(Kind::LogRefuses),
         1 => Just(Kind::AppendsUnanswered),
         1 => daemon.clone().prop_map(Kind::DaemonKilled),
-        2 => daemon.prop_map(Kind::DaemonPaused),
+        2 => daemon.clone().prop_map(Kind::DaemonPaused),
         1 => Just(Kind::HeartbeatsLost),
         1 => target.clone().prop_map(Kind::TargetKilled),
         2 => target.clone().prop_map(Kind::TargetSilent),
         2 => target.clone().prop_map(Kind::TargetLate),
-        1 => target.prop_map(Kind::TargetLeaves),
+        1 => target.clone().prop_map(Kind::TargetLeaves),
+        3 => (daemon, target).prop_map(|(i, k)| Kind::Partition(i, k)),
     ];
     let times = (0..FAULTS, 100..8_000_u64);
     (times, kind).prop_map(|((at, length), kind)| Fault { at, length, kind })
@@ -365,7 +368,7 @@
                 steward::Action::Read => self.begin_read(i, life),
                 steward::Action::Append { table, end } => self.begin_append(i, life, table, end.0),
                 order => {
-                    let at = self.now + self.rng.random_range(0..3);
+                    let at = self.now + self.send_delay();
                     self.put(at, Event::Send(i, life, order));
                 }
             }
@@ -376,6 +379,16 @@
         self.put(wake.0.max(self.now + 1), Event::Wake(i, number));
     }
 
+    /// Returns the time between poll and sending; a task may be starved
+    /// while the rest of the daemon runs.
+    fn send_delay(&mut self) -> u64 {
+        if self.now < self.over && self.rng.random_bool(0.03) {
+            self.rng.random_range(100..5_000)
+        } else {
+            self.rng.random_range(0..3)
+        }
+    }
+
     fn log_delay(&mut self) -> u64 {
         if self.has(|kind| matches!(kind, Kind::LogSlow)) {
             self.rng.random_range(100..300)
@@ -388,6 +401,19 @@
         self.has(|kind| match kind {
             Kind::LogDown => true,
             Kind::LogRefuses(k) => k == i,
+            _ => self.is_apart(i),
+        })
+    }
+
+    fn is_apart(&self, i: usize) -> bool {
+        self.has(|kind| matches!(kind, Kind::Partition(k, _) if k == i))
+    }
+
+    /// Returns whether orders of daemon `i` reach target `t`.
+    fn is_joined(&self, i: usize, t: usize) -> bool {
+        !self.has(|kind| match kind {
+            Kind::TargetSilent(k) => k == t,
+            Kind::Partition(daemon, target) => (daemon == i) != (target == t),
             _ => false,
         })
     }
@@ -406,8 +432,10 @@
         if self.has(|kind| matches!(kind, Kind::LogRefuses(k) if k == i)) {
             let refused = Some(dialect::Appended::Refused(503));
             self.put(now + delay, Event::Appended(i, life, refused));
-        } else if self.has(|kind| matches!(kind, Kind::LogDown | Kind::AppendsUnanswered)) {
-            if self.rng.random_bool(0.7) {
+        } else if self.has(|kind| matches!(kind, Kind::LogDown | Kind::AppendsUnanswered))
+            || self.is_apart(i)
+        {
+            if !self.is_apart(i) && self.rng.random_bool(0.7) {
                 let effect = now + self.rng.random_range(2..6_000);
                 self.put(effect, Event::Append(i, life, table, end, false));
             }
@@ -454,7 +482,8 @@
         let beat = is_steward.then(|| (steward.offset().unwrap().0, age));
         let lost = self.has(|kind| matches!(kind, Kind::HeartbeatsLost));
         for k in (0..self.daemons.len()).filter(|&k| k != i) {
-            if !(lost && self.rng.random_bool(0.8)) {
+            let apart = self.is_apart(i) || self.is_apart(k);
+            if !(apart || lost && self.rng.random_bool(0.8)) {
                 let at = self.now + self.rng.random_range(1..3);
                 self.put(at, Event::Heard(k, i, life, beat));
             }
@@ -542,7 +571,7 @@
     fn arrive(&mut self, i: usize, life: u64, action: steward::Action) {
         let (call, owner) = parts(&action);
         let k = target_of(&owner);
-        if self.has(|kind| matches!(kind, Kind::TargetSilent(t) if t == k)) {
+        if !self.is_joined(i, k) {
             return;
         }
         if !self.targets[k].alive || self.targets[k].birth != owner.birth {
