--- a/tests/gateway_steward/model.rs
+++ b/tests/gateway_steward/model.rs
@@ -71,7 +71,8 @@
         1 => target.clone().prop_map(Kind::TargetLeaves),
         3 => (daemon, target).prop_map(|(i, k)| Kind::Partition(i, k)),
     ];
-    let times = (0..FAULTS, 100..8_000_u64);
+    // A partition has to outlast the wait for leases of earlier stewards.
+    let times = (0..FAULTS, 100..18_000_u64);
     (times, kind).prop_map(|((at, length), kind)| Fault { at, length, kind })
 }
 
