--- a/tests/gateway_steward/model.rs
+++ b/tests/gateway_steward/model.rs
@@ -102,7 +102,7 @@
     alive: bool,
     steward: steward::Steward,
     heard: Vec<u64>,
-    /// Number of the last append or read; answers to given-up ones are dropped.
+    /// Number of the last wake-up planned; earlier ones are dropped.
     waking: u64,
 }
 
