--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -22,14 +22,25 @@
 /// Time for which a read waits for a record, in milliseconds.
 const WAIT: u64 = 10_000;
 
+/// The same for operators' records, which bounds how long a call that is never
+/// answered can hide a configuration.
+const OPERATOR_WAIT: u64 = 4_000;
+
+/// Part of the usual number of records that shows that the log served others
+/// while it did not answer here.
+const SERVED: f64 = 0.5;
+
+/// Weight of a new observation of the rate of records.
+const RATE_WEIGHT: f64 = 0.2;
+
 /// Time for an answer of the log beside the time that a read waits, in milliseconds.
-const ANSWER: u64 = 1_500;
+const ANSWER: u64 = 1_000;
 
 /// Time for a connection to the log.
 const CONNECT: Duration = Duration::from_millis(500);
 
 /// Pause after a call that failed, in milliseconds.
-const PAUSE: u64 = 400;
+const PAUSE: u64 = 300;
 
 /// Pause between reads of the hosts' topic, in milliseconds: hosts start together.
 const HOSTS_PAUSE: u64 = 1_000;
@@ -91,6 +102,20 @@
     Ok(shared.dialect.batch(from, &answer)?)
 }
 
+/// Reads records from an offset on, and waits for one unless the log returns
+/// from an outage meanwhile: a call that began before may never be answered.
+async fn wait_for(
+    shared: &Shared,
+    topic: Topic,
+    from: model::Offset,
+    wait: u64,
+) -> Result<dialect::Batch, Failure> {
+    tokio::select! {
+        batch = read(shared, topic, from, wait) => batch,
+        _ = shared.returned.notified(), if wait > 0 => read(shared, topic, from, 0).await,
+    }
+}
+
 /// Reads the newest record of every key, and the offset from which to go on.
 async fn newest(
     shared: &Shared,
@@ -120,24 +145,21 @@
     fn replace(&mut self, records: Vec<dialect::Record>, end: model::Offset);
     /// Takes records that follow.
     fn apply(&mut self, batch: dialect::Batch);
-    /// Takes note of whether the log answers; `started` is the start of the call.
-    fn answered(&mut self, _started: clock::Millis, _success: bool) {}
+    /// Takes note of a call to which the log gave no answer.
+    fn failed(&mut self) {}
 }
 
 /// Follows a topic for the life of the process.
 async fn follow(shared: Rc<Shared>, topic: Topic, wait: u64, pace: u64, mut reader: impl Reader) {
     let mut from: Option<model::Offset> = None;
     loop {
-        let started = clock::now();
         let done = match from {
             None => newest(&shared, topic).await.map(|(records, end)| {
-                reader.answered(started, true);
                 reader.replace(records, end);
                 end
             }),
-            Some(offset) => read(&shared, topic, offset, wait).await.map(|batch| {
+            Some(offset) => wait_for(&shared, topic, offset, wait).await.map(|batch| {
                 let next = batch.next;
-                reader.answered(started, true);
                 reader.apply(batch);
                 next
             }),
@@ -156,7 +178,7 @@
             }
             Err(error) => {
                 log::debug!("reading {topic:?}: {error}");
-                reader.answered(started, false);
+                reader.failed();
                 PAUSE
             }
         };
@@ -173,6 +195,9 @@
     };
     let targets = Targets {
         shared: Rc::clone(shared),
+        read: clock::now(),
+        rate: 0.0,
+        out: false,
     };
     let hosts = Hosts {
         shared: Rc::clone(shared),
@@ -180,7 +205,7 @@
     tokio::task::spawn_local(follow(
         Rc::clone(shared),
         Topic::Operator,
-        WAIT,
+        OPERATOR_WAIT,
         0,
         operator,
     ));
@@ -274,6 +299,12 @@
 
 struct Targets {
     shared: Rc<Shared>,
+    /// Time of the last read that was answered.
+    read: clock::Millis,
+    /// Records a millisecond while the log answers.
+    rate: f64,
+    /// Whether the last call was not answered.
+    out: bool,
 }
 
 impl Targets {
@@ -288,6 +319,26 @@
         }
     }
 
+    /// Takes note of an answer with this number of records.
+    fn on_answer(&mut self, records: Option<usize>) {
+        let now = clock::now();
+        let time = now.since(self.read).max(1) as f64;
+        let found = records.map(|records| records as f64 / time);
+        let mut registry = self.shared.registry.borrow_mut();
+        if self.out {
+            log::info!("the log answers again after {time} ms");
+            registry.set_outage(now, false);
+            if found.is_some_and(|found| found >= SERVED * self.rate) {
+                registry.set_steady();
+            }
+            self.shared.returned.notify_waiters();
+        } else if let Some(found) = found {
+            self.rate += RATE_WEIGHT * (found - self.rate);
+        }
+        self.read = now;
+        self.out = false;
+    }
+
     fn on_change(&self, before: u64) {
         let mut registry = self.shared.registry.borrow_mut();
         registry.sweep(clock::now());
@@ -301,6 +352,7 @@
 
 impl Reader for Targets {
     fn replace(&mut self, records: Vec<dialect::Record>, _end: model::Offset) {
+        self.on_answer(None);
         let before = self.shared.registry.borrow().generation();
         let entries = records
             .iter()
@@ -314,6 +366,7 @@
     }
 
     fn apply(&mut self, batch: dialect::Batch) {
+        self.on_answer(Some(batch.records.len()));
         let before = self.shared.registry.borrow().generation();
         let now = clock::now();
         // Only the last record of a key counts; the earlier ones are not parsed.
@@ -333,9 +386,12 @@
         self.on_change(before);
     }
 
-    fn answered(&mut self, _started: clock::Millis, success: bool) {
-        let mut registry = self.shared.registry.borrow_mut();
-        registry.set_outage(clock::now(), !success);
+    fn failed(&mut self) {
+        self.out = true;
+        self.shared
+            .registry
+            .borrow_mut()
+            .set_outage(clock::now(), true);
     }
 }
 
--- a/src/gateway/office.rs
+++ b/src/gateway/office.rs
@@ -111,7 +111,11 @@
     let mut from = None;
     loop {
         let started = clock::now();
-        match feed::read_table(&shared, from, WAIT).await {
+        let read = tokio::select! {
+            read = feed::read_table(&shared, from, WAIT) => read,
+            _ = shared.returned.notified() => continue,
+        };
+        match read {
             Ok(read) => {
                 from = Some(next(&read));
                 take_read(&shared, &machine, started, read);
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -210,6 +210,12 @@
         };
     }
 
+    /// Notes that the log answers after all and has served others meanwhile, so
+    /// that removals are no effect of an outage.
+    pub fn set_steady(&mut self) {
+        self.log = Log::Steady;
+    }
+
     /// Carries out delayed removals that are due and forgets targets long gone.
     pub fn sweep(&mut self, now: clock::Millis) {
         if self.log.is_relisted(now) {
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -55,6 +55,8 @@
     pub table: RefCell<Option<Rc<keys::Table>>>,
     /// Wakes requests that wait for another owner.
     pub moved: Notify,
+    /// Wakes calls that wait for records when the log returns from an outage.
+    pub returned: Notify,
     /// Wakes the steward's loop.
     pub stir: Notify,
     /// Work per key, for the steward.
@@ -92,6 +94,7 @@
             cold: RefCell::default(),
             table: RefCell::default(),
             moved: Notify::new(),
+            returned: Notify::new(),
             stir: Notify::new(),
             demand: RefCell::default(),
             stopping: Cell::default(),
