--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -352,12 +352,13 @@
 
 impl Reader for Targets {
     fn replace(&mut self, records: Vec<dialect::Record>, _end: model::Offset) {
-        self.on_answer(None);
         let before = self.shared.registry.borrow().generation();
-        let entries = records
+        let entries: Vec<_> = records
             .iter()
             .filter_map(|record| self.entry(record))
             .collect();
+        let written = self.shared.registry.borrow().written(&entries);
+        self.on_answer(written);
         self.shared
             .registry
             .borrow_mut()
