--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -22,6 +22,7 @@
 mod desk;
 mod feed;
 mod front;
+mod lending;
 mod office;
 
 use std::io;
@@ -90,12 +91,12 @@
     let peer = UdpSocket::bind(listen.peer)
         .await
         .map_err(at("peer address"))?;
-    let shared = Rc::new(Shared::new(settings, dialect));
+    let shared = Rc::new(Shared::new(settings, dialect, peer));
     let (close, closing) = watch::channel(false);
     tokio::task::spawn_local(desk::accept(Rc::clone(&shared), admin));
     tokio::task::spawn_local(front::accept(Rc::clone(&shared), caller, closing));
     feed::start(&shared);
-    office::start(&shared, peer);
+    office::start(&shared);
     tokio::task::spawn_local(sweep(Rc::clone(&shared)));
     loop {
         tokio::select! {
--- a/src/gateway/desk.rs
+++ b/src/gateway/desk.rs
@@ -92,7 +92,7 @@
         "version": catalog.as_ref().map(|catalog| catalog.version()),
         "taken_out": shared.taken_out.borrow().keys().collect::<Vec<_>>(),
         "daemons": shared.peers.borrow().live(now),
-        "steward": table.as_ref().map(|table| table.host.clone()),
+        "steward": table.as_ref().map(|(_, table)| table.host.clone()),
         "targets": targets,
     });
     format!("{status:#}\n")
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -530,7 +530,7 @@
     let table = shared.table.borrow();
     let run = table
         .as_ref()
-        .and_then(|table| table.run_of(&ask.service.name, key))
+        .and_then(|(_, table)| table.run_of(&ask.service.name, key))
         .ok_or("the key has no owner yet")?;
     let owner = serving(run).ok_or("the key has no owner yet")?;
     let registry = shared.registry.borrow();
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -1,7 +1,8 @@
 //! Readers of the log: targets, operators' records, hosts and the key table.
 
-use std::collections::HashMap;
+use std::collections::HashSet;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::clock;
@@ -11,13 +12,15 @@
 use crate::gateway::counters;
 use crate::gateway::dialect::{self, Topic};
 use crate::gateway::keys;
+use crate::gateway::lending;
 use crate::gateway::peers;
 use crate::gateway::shared::Shared;
 use crate::model;
 
-/// Time between reads of the targets' topic, in milliseconds. It holds new
-/// records all the time, so that waiting for one would not save a call.
-const PACE: u64 = 900;
+/// Time between reads of the targets' topic, in percent of the time within which
+/// a leaving target must be left alone. The topic holds new records all the time,
+/// so that waiting for one would not save a call.
+const PACE: u64 = 40;
 
 /// Time for which a read waits for a record, in milliseconds.
 const WAIT: u64 = 10_000;
@@ -26,13 +29,6 @@
 /// answered can hide a configuration.
 const OPERATOR_WAIT: u64 = 4_000;
 
-/// Part of the usual number of records that shows that the log served others
-/// while it did not answer here.
-const SERVED: f64 = 0.5;
-
-/// Weight of a new observation of the rate of records.
-const RATE_WEIGHT: f64 = 0.2;
-
 /// Time for an answer of the log beside the time that a read waits, in milliseconds.
 const ANSWER: u64 = 1_000;
 
@@ -139,48 +135,58 @@
     }
 }
 
+/// How records came to this daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Source {
+    /// By a call of its own that began at this time.
+    Own(clock::Millis),
+    /// From another daemon, which read them.
+    Lent,
+}
+
 /// Takes what a topic says.
-trait Reader {
+pub(crate) trait Reader {
     /// Takes the newest records of all keys; whatever is missing does not exist.
-    fn replace(&mut self, records: Vec<dialect::Record>, end: model::Offset);
-    /// Takes records that follow.
-    fn apply(&mut self, batch: dialect::Batch);
+    fn replace(&mut self, records: Vec<dialect::Record>, end: model::Offset, source: Source);
+    /// Takes records that follow, and returns those that are worth passing on.
+    fn apply(&mut self, batch: dialect::Batch, source: Source) -> Vec<dialect::Record>;
     /// Takes note of a call to which the log gave no answer.
     fn failed(&mut self) {}
 }
 
-/// Follows a topic for the life of the process.
-async fn follow(shared: Rc<Shared>, topic: Topic, wait: u64, pace: u64, mut reader: impl Reader) {
+/// How a topic is followed.
+pub(crate) struct Plan {
+    /// Topic.
+    pub(crate) topic: Topic,
+    /// Time for which a read waits for a record, in milliseconds.
+    pub(crate) wait: u64,
+    /// Pause after a read, in milliseconds.
+    pub(crate) pace: u64,
+}
+
+/// Follows a topic for the life of the process: by calls of its own, or by what
+/// the reader of the failure domain passes on.
+pub(crate) async fn follow(shared: Rc<Shared>, plan: Plan, mut reader: impl Reader) {
+    let mut inbox = shared.lending.borrow_mut().open(plan.topic);
     let mut from: Option<model::Offset> = None;
     loop {
-        let done = match from {
-            None => newest(&shared, topic).await.map(|(records, end)| {
-                reader.replace(records, end);
-                end
-            }),
-            Some(offset) => wait_for(&shared, topic, offset, wait).await.map(|batch| {
-                let next = batch.next;
-                reader.apply(batch);
-                next
-            }),
-        };
-        let pause = match done {
-            Ok(next) => {
-                from = Some(next);
-                pace
-            }
-            Err(Failure::Answer(dialect::ReadError::Trimmed(first))) => {
-                log::info!(
-                    "records of {topic:?} before offset {first} are gone; reading the newest"
-                );
-                from = None;
-                0
-            }
-            Err(error) => {
-                log::debug!("reading {topic:?}: {error}");
-                reader.failed();
-                PAUSE
+        let pause = match from {
+            None => read_all(&shared, &plan, &mut from, &mut reader).await,
+            Some(offset) if shared.is_lent() => {
+                match lending::receive(&shared, &plan, &mut inbox, offset).await {
+                    lending::Received::Batch(batch) => {
+                        from = Some(batch.next);
+                        reader.apply(batch, Source::Lent);
+                        0
+                    }
+                    lending::Received::Behind => {
+                        read_on(&shared, &plan, 0, &mut from, &mut reader).await;
+                        0
+                    }
+                    lending::Received::Nothing => 0,
+                }
             }
+            Some(_) => read_on(&shared, &plan, plan.wait, &mut from, &mut reader).await,
         };
         if pause > 0 {
             tokio::time::sleep(Duration::from_millis(pause)).await;
@@ -188,6 +194,62 @@
     }
 }
 
+/// Reads the newest records; returns how long to pause.
+async fn read_all(
+    shared: &Shared,
+    plan: &Plan,
+    from: &mut Option<model::Offset>,
+    reader: &mut impl Reader,
+) -> u64 {
+    let source = Source::Own(clock::now());
+    match newest(shared, plan.topic).await {
+        Ok((records, end)) => {
+            reader.replace(records, end, source);
+            *from = Some(end);
+            shared.lending.borrow_mut().on_read(plan.topic, end);
+            plan.pace
+        }
+        Err(error) => fail(plan, &error, reader),
+    }
+}
+
+/// Reads on from an offset; returns how long to pause.
+async fn read_on(
+    shared: &Rc<Shared>,
+    plan: &Plan,
+    wait: u64,
+    from: &mut Option<model::Offset>,
+    reader: &mut impl Reader,
+) -> u64 {
+    let Some(offset) = *from else {
+        return 0;
+    };
+    let source = Source::Own(clock::now());
+    match wait_for(shared, plan.topic, offset, wait).await {
+        Ok(batch) => {
+            let (next, end) = (batch.next, batch.end);
+            let records = reader.apply(batch, source);
+            *from = Some(next);
+            shared.lending.borrow_mut().on_read(plan.topic, next);
+            lending::pass_on(shared, plan.topic, offset, next, end, records);
+            plan.pace
+        }
+        Err(Failure::Answer(dialect::ReadError::Trimmed(first))) => {
+            let topic = plan.topic;
+            log::info!("records of {topic:?} before offset {first} are gone; reading the newest");
+            *from = None;
+            0
+        }
+        Err(error) => fail(plan, &error, reader),
+    }
+}
+
+fn fail(plan: &Plan, error: &Failure, reader: &mut impl Reader) -> u64 {
+    log::debug!("reading {:?}: {error}", plan.topic);
+    reader.failed();
+    PAUSE
+}
+
 /// Starts all readers.
 pub(crate) fn start(shared: &Rc<Shared>) {
     let operator = Operator {
@@ -195,23 +257,22 @@
     };
     let targets = Targets {
         shared: Rc::clone(shared),
-        read: clock::now(),
-        rate: 0.0,
-        out: false,
+        out: None,
     };
     let hosts = Hosts {
         shared: Rc::clone(shared),
     };
-    tokio::task::spawn_local(follow(
-        Rc::clone(shared),
-        Topic::Operator,
-        OPERATOR_WAIT,
+    let plan = |topic, wait, pace| Plan { topic, wait, pace };
+    let operators = plan(Topic::Operator, OPERATOR_WAIT, 0);
+    tokio::task::spawn_local(follow(Rc::clone(shared), operators, operator));
+    let list = plan(
+        Topic::Targets,
         0,
-        operator,
-    ));
-    tokio::task::spawn_local(follow(Rc::clone(shared), Topic::Targets, 0, PACE, targets));
-    let hosts = follow(Rc::clone(shared), Topic::Hosts, WAIT, HOSTS_PAUSE, hosts);
-    tokio::task::spawn_local(hosts);
+        shared.settings.bounds.drain.0 * PACE / 100,
+    );
+    tokio::task::spawn_local(follow(Rc::clone(shared), list, targets));
+    let notices = plan(Topic::Hosts, WAIT, HOSTS_PAUSE);
+    tokio::task::spawn_local(follow(Rc::clone(shared), notices, hosts));
     tokio::task::spawn_local(announce(Rc::clone(shared)));
 }
 
@@ -271,7 +332,7 @@
 }
 
 impl Reader for Operator {
-    fn replace(&mut self, records: Vec<dialect::Record>, _end: model::Offset) {
+    fn replace(&mut self, records: Vec<dialect::Record>, _end: model::Offset, _source: Source) {
         let kept: Vec<_> = records
             .iter()
             .filter(|record| record.value.is_some())
@@ -287,24 +348,21 @@
         self.shared.stir.notify_one();
     }
 
-    fn apply(&mut self, batch: dialect::Batch) {
+    fn apply(&mut self, batch: dialect::Batch, _source: Source) -> Vec<dialect::Record> {
         for record in &batch.records {
             self.take(record);
         }
         if !batch.records.is_empty() {
             self.shared.stir.notify_one();
         }
+        batch.records
     }
 }
 
 struct Targets {
     shared: Rc<Shared>,
-    /// Time of the last read that was answered.
-    read: clock::Millis,
-    /// Records a millisecond while the log answers.
-    rate: f64,
-    /// Whether the last call was not answered.
-    out: bool,
+    /// Time since which the log has not answered.
+    out: Option<clock::Millis>,
 }
 
 impl Targets {
@@ -319,24 +377,20 @@
         }
     }
 
-    /// Takes note of an answer with this number of records.
-    fn on_answer(&mut self, records: Option<usize>) {
+    /// Takes note of an answer.
+    fn on_answer(&mut self, source: Source) {
         let now = clock::now();
-        let time = now.since(self.read).max(1) as f64;
-        let found = records.map(|records| records as f64 / time);
-        let mut registry = self.shared.registry.borrow_mut();
-        if self.out {
-            log::info!("the log answers again after {time} ms");
-            registry.set_outage(now, false);
-            if found.is_some_and(|found| found >= SERVED * self.rate) {
-                registry.set_steady();
-            }
+        if let Some(since) = self.out.take() {
+            log::info!("the log answers again after {} ms", now.since(since));
+            self.shared.registry.borrow_mut().set_outage(now, false);
             self.shared.returned.notify_waiters();
-        } else if let Some(found) = found {
-            self.rate += RATE_WEIGHT * (found - self.rate);
         }
-        self.read = now;
-        self.out = false;
+        if let Source::Own(started) = source {
+            self.shared.listed_at.set(Some(started));
+            self.shared
+                .answering
+                .set(self.shared.answering.get().or(Some(now)));
+        }
     }
 
     fn on_change(&self, before: u64) {
@@ -351,48 +405,49 @@
 }
 
 impl Reader for Targets {
-    fn replace(&mut self, records: Vec<dialect::Record>, _end: model::Offset) {
+    fn replace(&mut self, records: Vec<dialect::Record>, _end: model::Offset, source: Source) {
+        self.on_answer(source);
         let before = self.shared.registry.borrow().generation();
-        let entries: Vec<_> = records
+        let entries = records
             .iter()
             .filter_map(|record| self.entry(record))
             .collect();
-        let written = self.shared.registry.borrow().written(&entries);
-        self.on_answer(written);
-        self.shared
-            .registry
-            .borrow_mut()
-            .replace(clock::now(), entries);
+        let mut registry = self.shared.registry.borrow_mut();
+        registry.replace(clock::now(), entries);
+        drop(registry);
         self.on_change(before);
     }
 
-    fn apply(&mut self, batch: dialect::Batch) {
-        self.on_answer(Some(batch.records.len()));
+    fn apply(&mut self, batch: dialect::Batch, source: Source) -> Vec<dialect::Record> {
+        self.on_answer(source);
         let before = self.shared.registry.borrow().generation();
         let now = clock::now();
         // Only the last record of a key counts; the earlier ones are not parsed.
-        let mut last: HashMap<&str, usize> = HashMap::new();
-        for (index, record) in batch.records.iter().enumerate() {
-            last.insert(&record.key, index);
-        }
-        let mut indices: Vec<usize> = last.into_values().collect();
-        indices.sort_unstable();
-        for record in indices.into_iter().map(|index| &batch.records[index]) {
+        let mut seen = HashSet::new();
+        let mut last: Vec<dialect::Record> = batch.records.into_iter().rev().collect();
+        last.retain(|record| seen.insert(Arc::clone(&record.key)));
+        last.reverse();
+        // Records that only say that a target lives need not be passed on.
+        last.retain(|record| {
+            let known = self.shared.registry.borrow().generation();
             match (&record.value, self.entry(record)) {
                 (None, _) => self.shared.registry.borrow_mut().remove(now, &record.key),
                 (_, Some(entry)) => self.shared.registry.borrow_mut().apply(now, entry),
                 (_, None) => {}
             }
-        }
+            record.value.is_none() || self.shared.registry.borrow().generation() != known
+        });
         self.on_change(before);
+        lending::pulse(&self.shared, source);
+        last
     }
 
     fn failed(&mut self) {
-        self.out = true;
-        self.shared
-            .registry
-            .borrow_mut()
-            .set_outage(clock::now(), true);
+        let now = clock::now();
+        self.out.get_or_insert(now);
+        self.shared.answering.set(None);
+        self.shared.out_since.set(self.out);
+        self.shared.registry.borrow_mut().set_outage(now, true);
     }
 }
 
@@ -413,16 +468,17 @@
 }
 
 impl Reader for Hosts {
-    fn replace(&mut self, records: Vec<dialect::Record>, _end: model::Offset) {
+    fn replace(&mut self, records: Vec<dialect::Record>, _end: model::Offset, _source: Source) {
         for record in &records {
             self.take(record);
         }
     }
 
-    fn apply(&mut self, batch: dialect::Batch) {
+    fn apply(&mut self, batch: dialect::Batch, _source: Source) -> Vec<dialect::Record> {
         for record in &batch.records {
             self.take(record);
         }
+        batch.records
     }
 }
 
@@ -470,16 +526,26 @@
         Err(Failure::Answer(dialect::ReadError::Trimmed(_))) => return newest_table(shared).await,
         batch => batch?,
     };
-    Ok(match batch.records.last() {
+    Ok(last_of(&batch))
+}
+
+/// Returns what a batch says of the key table.
+pub(crate) fn last_of(batch: &dialect::Batch) -> TableRead {
+    match batch.records.last() {
         Some(record) => TableRead::Record(record.offset, batch.end, table_of(record)),
         None => TableRead::Nothing(batch.end),
-    })
+    }
 }
 
-async fn newest_table(shared: &Shared) -> Result<TableRead, Failure> {
-    let (records, end) = newest(shared, Topic::Table).await?;
-    Ok(match records.last() {
+/// Returns what the newest records say of the key table.
+pub(crate) fn newest_of(records: &[dialect::Record], end: model::Offset) -> TableRead {
+    match records.last() {
         Some(record) => TableRead::Record(record.offset, end, table_of(record)),
         None => TableRead::Empty(end),
-    })
+    }
+}
+
+async fn newest_table(shared: &Shared) -> Result<TableRead, Failure> {
+    let (records, end) = newest(shared, Topic::Table).await?;
+    Ok(newest_of(&records, end))
 }
--- /dev/null
+++ b/src/gateway/lending.rs
@@ -0,0 +1,258 @@
+//! Reads of the log that one daemon makes for all of its failure domain.
+//!
+//! Calls to the log have a price and a common limit. The first live daemon of a
+//! failure domain, by name, reads all topics and passes records on by datagram.
+//! With each read of the targets it tells the offsets up to which it has read, so
+//! that the others notice what they missed, and that it still reads. Whoever hears
+//! nothing for a while makes its own calls.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use tokio::sync::mpsc;
+
+use crate::clock;
+use crate::gateway::dialect::{self, Topic};
+use crate::gateway::feed;
+use crate::gateway::peers;
+use crate::gateway::shared::Shared;
+use crate::model;
+
+/// Time without a sign of the reader after which a daemon makes its own calls, in
+/// percent of the time within which a leaving target must be left alone.
+const SILENCE: u64 = 62;
+
+/// Largest datagram that is sent, in bytes.
+const DATAGRAM: usize = 8_000;
+
+/// Time for records under way before a daemon reads what it seems to have missed.
+const UNDER_WAY: Duration = Duration::from_millis(30);
+
+/// Records that the reader passes on.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Loan {
+    topic: u8,
+    from: model::Offset,
+    next: model::Offset,
+    end: model::Offset,
+    records: Vec<(model::Offset, Arc<str>, Option<serde_bytes::ByteBuf>)>,
+}
+
+/// What the reader says with each read.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Pulse {
+    /// Offsets up to which it has read, by topic.
+    next: [Option<model::Offset>; 4],
+    /// Time for which the log has answered all its calls, in milliseconds.
+    answering: u64,
+}
+
+/// What a daemon knows of the reader and of its own reads.
+#[derive(Debug, Default)]
+pub(crate) struct Lending {
+    inboxes: HashMap<Topic, mpsc::UnboundedSender<Option<Loan>>>,
+    next: [Option<model::Offset>; 4],
+    heard: Option<(clock::Millis, Pulse)>,
+}
+
+fn index(topic: Topic) -> usize {
+    match topic {
+        Topic::Targets => 0,
+        Topic::Operator => 1,
+        Topic::Table => 2,
+        Topic::Hosts => 3,
+    }
+}
+
+const TOPICS: [Topic; 4] = [Topic::Targets, Topic::Operator, Topic::Table, Topic::Hosts];
+
+/// Receives loans of a topic; `None` says that the reader has read on.
+pub(crate) type Inbox = mpsc::UnboundedReceiver<Option<Loan>>;
+
+impl Lending {
+    /// Opens the inbox of a topic.
+    pub(crate) fn open(&mut self, topic: Topic) -> Inbox {
+        let (sender, inbox) = mpsc::unbounded_channel();
+        self.inboxes.insert(topic, sender);
+        inbox
+    }
+
+    /// Takes note of an own read up to `next`.
+    pub(crate) fn on_read(&mut self, topic: Topic, next: model::Offset) {
+        self.next[index(topic)] = Some(next);
+    }
+
+    /// Takes records that the reader passed on.
+    pub(crate) fn on_loan(&mut self, loan: Loan) {
+        let topic = TOPICS.get(usize::from(loan.topic));
+        if let Some(inbox) = topic.and_then(|topic| self.inboxes.get(topic)) {
+            // A closed inbox means that the process ends.
+            let _ = inbox.send(Some(loan));
+        }
+    }
+
+    /// Takes a sign of the reader.
+    pub(crate) fn on_pulse(&mut self, pulse: Pulse, now: clock::Millis) {
+        self.heard = Some((now, pulse));
+        for inbox in self.inboxes.values() {
+            let _ = inbox.send(None);
+        }
+    }
+
+    fn known(&self, topic: Topic) -> Option<model::Offset> {
+        self.heard.as_ref()?.1.next[index(topic)]
+    }
+
+    /// Returns since when the log has answered the reader.
+    fn answering(&self) -> Option<clock::Millis> {
+        self.heard
+            .as_ref()
+            .map(|(heard, pulse)| *heard - pulse.answering)
+    }
+}
+
+impl Shared {
+    fn silence(&self) -> u64 {
+        self.settings.bounds.drain.0 * SILENCE / 100
+    }
+
+    /// Returns whether another daemon reads the log for this one.
+    pub(crate) fn is_lent(&self) -> bool {
+        let now = clock::now();
+        let heard = self
+            .lending
+            .borrow()
+            .heard
+            .as_ref()
+            .map(|(heard, _)| *heard);
+        let recent = heard.is_some_and(|heard| now.since(heard) < self.silence());
+        recent && !self.is_reader(now)
+    }
+
+    /// Returns whether this daemon reads the log for its failure domain.
+    fn is_reader(&self, now: clock::Millis) -> bool {
+        let settings = &self.settings;
+        let peers = self.peers.borrow();
+        let local = |domain: &model::DomainName| *domain == settings.domain;
+        peers.rank(&settings.host, &settings.domain, now, local) == 0
+    }
+
+    /// Returns for how long the log has answered, in milliseconds.
+    pub(crate) fn answering_for(&self, now: clock::Millis) -> u64 {
+        let since = match self.is_lent() {
+            true => self.lending.borrow().answering(),
+            false => self.answering.get(),
+        };
+        since.map_or(0, |since| now.since(since))
+    }
+}
+
+/// What came from the reader.
+pub(crate) enum Received {
+    /// Records that follow those that are known.
+    Batch(dialect::Batch),
+    /// The reader has read on, and its records were missed.
+    Behind,
+    /// Nothing new.
+    Nothing,
+}
+
+/// Waits for records from the reader, or until it has been silent for too long.
+pub(crate) async fn receive(
+    shared: &Shared,
+    plan: &feed::Plan,
+    inbox: &mut Inbox,
+    from: model::Offset,
+) -> Received {
+    let limit = Duration::from_millis(shared.silence());
+    let Ok(Some(message)) = tokio::time::timeout(limit, inbox.recv()).await else {
+        return Received::Nothing;
+    };
+    if let Some(loan) = message {
+        return match loan {
+            loan if loan.from > from => Received::Behind,
+            loan if loan.next <= from => Received::Nothing,
+            loan => Received::Batch(batch(loan)),
+        };
+    }
+    let known = shared.lending.borrow().known(plan.topic);
+    if known.is_none_or(|known| known <= from) {
+        return Received::Nothing;
+    }
+    // The pulse may have overtaken the records.
+    match tokio::time::timeout(UNDER_WAY, inbox.recv()).await {
+        Ok(Some(Some(loan))) if loan.from <= from && loan.next > from => {
+            Received::Batch(batch(loan))
+        }
+        _ => Received::Behind,
+    }
+}
+
+fn batch(loan: Loan) -> dialect::Batch {
+    let records = loan
+        .records
+        .into_iter()
+        .map(|(offset, key, value)| dialect::Record {
+            offset,
+            key,
+            value: value.map(|value| Bytes::from(value.into_vec())),
+        });
+    dialect::Batch {
+        records: records.collect(),
+        next: loan.next,
+        end: loan.end,
+    }
+}
+
+/// Passes records on if this daemon is the reader.
+pub(crate) fn pass_on(
+    shared: &Rc<Shared>,
+    topic: Topic,
+    from: model::Offset,
+    next: model::Offset,
+    end: model::Offset,
+    records: Vec<dialect::Record>,
+) {
+    if next == from || shared.stopping.get() || !shared.is_reader(clock::now()) {
+        return;
+    }
+    let records = records.into_iter().map(|record| {
+        let value = record
+            .value
+            .map(|value| serde_bytes::ByteBuf::from(value.to_vec()));
+        (record.offset, record.key, value)
+    });
+    let loan = Loan {
+        topic: index(topic) as u8,
+        from,
+        next,
+        end,
+        records: records.collect(),
+    };
+    let message = peers::encode(&peers::Message::Loan(loan));
+    match message.len() <= DATAGRAM {
+        true => peers::tell_domain(shared, &message),
+        // Too long for a datagram: the others read it themselves.
+        false => send_pulse(shared),
+    }
+}
+
+/// Tells the failure domain that this daemon reads, after a read of its own.
+pub(crate) fn pulse(shared: &Rc<Shared>, source: feed::Source) {
+    let own = matches!(source, feed::Source::Own(_));
+    if own && !shared.stopping.get() && shared.is_reader(clock::now()) {
+        send_pulse(shared);
+    }
+}
+
+fn send_pulse(shared: &Rc<Shared>) {
+    let pulse = Pulse {
+        next: shared.lending.borrow().next,
+        answering: shared.answering_for(clock::now()),
+    };
+    peers::tell_domain(shared, &peers::encode(&peers::Message::Pulse(pulse)));
+}
--- a/src/gateway/office.rs
+++ b/src/gateway/office.rs
@@ -43,12 +43,21 @@
 type Steward = Rc<RefCell<steward::Steward>>;
 
 /// Starts the steward's tasks.
-pub(crate) fn start(shared: &Rc<Shared>, socket: UdpSocket) {
+pub(crate) fn start(shared: &Rc<Shared>) {
     let host = shared.settings.host.clone();
     let machine = steward::Steward::new(host, shared.incarnation, clock::now());
     let machine: Steward = Rc::new(RefCell::new(machine));
-    let socket = Rc::new(socket);
-    tokio::task::spawn_local(follow(Rc::clone(shared), Rc::clone(&machine)));
+    let socket = Rc::clone(&shared.socket);
+    let reader = TableReader {
+        shared: Rc::clone(shared),
+        machine: Rc::clone(&machine),
+    };
+    let plan = feed::Plan {
+        topic: Topic::Table,
+        wait: WAIT,
+        pace: 0,
+    };
+    tokio::task::spawn_local(feed::follow(Rc::clone(shared), plan, reader));
     tokio::task::spawn_local(work(Rc::clone(shared), Rc::clone(&machine)));
     tokio::task::spawn_local(receive(
         Rc::clone(shared),
@@ -66,7 +75,7 @@
                 .table
                 .borrow()
                 .as_ref()
-                .map(|table| table.host.clone())
+                .map(|(_, table)| table.host.clone())
         }
     };
     let counts = peers::send_counts(Rc::clone(shared), Rc::clone(&socket));
@@ -94,8 +103,13 @@
             peers::Message::Counts(peer, counts) => {
                 return shared.choice.borrow_mut().on_counts(peer, counts, now);
             }
+            peers::Message::Loan(loan) => return shared.lending.borrow_mut().on_loan(loan),
+            peers::Message::Pulse(pulse) => {
+                return shared.lending.borrow_mut().on_pulse(pulse, now);
+            }
         };
         shared.peers.borrow_mut().on_heartbeat(&heartbeat.host, now);
+        judge_outage(&shared, heartbeat.answering, now);
         let mut machine = machine.borrow_mut();
         for (service, figures) in heartbeat.load {
             machine.on_load(now, heartbeat.host.clone(), service, figures);
@@ -114,31 +128,63 @@
     peers::receive(Rc::clone(&socket), take).await;
 }
 
+/// Ends the doubt about removed targets if the log served another daemon while
+/// it did not answer this one: then this host was cut off, and the log was not out.
+fn judge_outage(shared: &Shared, answering: u64, now: clock::Millis) {
+    let Some(since) = shared.out_since.get() else {
+        return;
+    };
+    if shared.answering.get().is_some() && answering > now.since(since) {
+        shared.out_since.set(None);
+        let mut registry = shared.registry.borrow_mut();
+        registry.set_steady();
+        registry.sweep(now);
+    }
+}
+
 /// Follows the key table, which changes only when keys move.
-async fn follow(shared: Rc<Shared>, machine: Steward) {
-    let mut from = None;
-    loop {
-        let started = clock::now();
-        let read = tokio::select! {
-            read = feed::read_table(&shared, from, WAIT) => read,
-            _ = shared.returned.notified() => continue,
-        };
-        match read {
-            Ok(read) => {
-                from = Some(next(&read));
-                take_read(&shared, &machine, started, read);
+struct TableReader {
+    shared: Rc<Shared>,
+    machine: Steward,
+}
+
+impl feed::Reader for TableReader {
+    fn replace(&mut self, records: Vec<dialect::Record>, end: model::Offset, source: feed::Source) {
+        let read = feed::newest_of(&records, end);
+        self.take(read, source);
+    }
+
+    fn apply(&mut self, batch: dialect::Batch, source: feed::Source) -> Vec<dialect::Record> {
+        let read = feed::last_of(&batch);
+        self.take(read, source);
+        let last = batch.records.last().cloned();
+        last.into_iter().collect()
+    }
+}
+
+impl TableReader {
+    /// Takes a read. Records that another daemon read say nothing of this
+    /// daemon's own access to the log, on which its right depends.
+    fn take(&self, read: TableRead, source: feed::Source) {
+        match (source, read) {
+            (feed::Source::Own(started), read) => {
+                take_read(&self.shared, &self.machine, started, read);
             }
-            Err(error) => {
-                log::debug!("reading the key table: {error}");
-                tokio::time::sleep(Duration::from_millis(PAUSE)).await;
+            (feed::Source::Lent, TableRead::Record(offset, _, Some(table))) => {
+                show(&self.shared, offset, table);
             }
+            (feed::Source::Lent, _) => {}
         }
     }
 }
 
-fn next(read: &TableRead) -> model::Offset {
-    match read {
-        TableRead::Empty(end) | TableRead::Record(_, end, _) | TableRead::Nothing(end) => *end,
+/// Makes a table known to requests, unless a newer one is.
+fn show(shared: &Shared, offset: model::Offset, table: keys::Table) {
+    let mut known = shared.table.borrow_mut();
+    if known.as_ref().is_none_or(|(newest, _)| *newest < offset) {
+        *known = Some((offset, Rc::new(table)));
+        drop(known);
+        shared.moved.notify_waiters();
     }
 }
 
@@ -160,17 +206,14 @@
     shared.stir.notify_one();
 }
 
-/// Makes the newest table known to requests.
+/// Makes the state machine's table known to requests.
 fn publish(shared: &Shared, machine: &Steward) {
     let machine = machine.borrow();
-    let Some(table) = machine.table() else {
-        return;
-    };
-    let mut known = shared.table.borrow_mut();
-    if known.as_deref() != Some(table) {
-        *known = Some(Rc::new(table.clone()));
-        drop(known);
-        shared.moved.notify_waiters();
+    let known = shared.table.borrow().as_ref().map(|(offset, _)| *offset);
+    if let (Some(table), Some(offset)) = (machine.table(), machine.offset())
+        && known < Some(offset)
+    {
+        show(shared, offset, table.clone());
     }
 }
 
@@ -188,7 +231,7 @@
                     state.on_load(now, shared.settings.host.clone(), service, figures);
                 }
             }
-            state.on_targets(now, members, services);
+            state.on_targets(now, shared.listed_at.get(), members, services);
             let actions = state.poll(now, rank);
             drop(state);
             for action in actions {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -11,6 +11,7 @@
 use crate::clock;
 use crate::finding;
 use crate::gateway::choice::{self, Counts};
+use crate::gateway::lending;
 use crate::gateway::shared::Shared;
 use crate::model;
 
@@ -102,6 +103,9 @@
 pub(crate) struct Heartbeat {
     pub(crate) host: model::HostName,
     pub(crate) incarnation: model::Incarnation,
+    /// Time for which the log has answered this daemon, in milliseconds.
+    #[serde(default)]
+    pub(crate) answering: u64,
     #[serde(default)]
     pub(crate) claim: Option<Claim>,
     #[serde(default)]
@@ -117,6 +121,12 @@
     /// Requests in progress of the daemon with this incarnation.
     #[serde(rename = "c")]
     Counts(u64, choice::Counts),
+    /// Records of the log, read for the failure domain.
+    #[serde(rename = "l")]
+    Loan(lending::Loan),
+    /// The reader of the failure domain reads.
+    #[serde(rename = "p")]
+    Pulse(lending::Pulse),
 }
 
 #[derive(Clone, Debug)]
@@ -260,11 +270,19 @@
     }
 }
 
-fn encode(message: &Message) -> Vec<u8> {
+pub(crate) fn encode(message: &Message) -> Vec<u8> {
     // Writing plain fields to memory does not fail.
     rmp_serde::to_vec(message).unwrap_or_default()
 }
 
+/// Sends a message to the live daemons of this host's failure domain.
+pub(crate) fn tell_domain(shared: &Shared, message: &[u8]) {
+    for address in circle_of(shared, 0) {
+        // Whoever misses a message notices by a later one.
+        let _ = shared.socket.try_send_to(message, address);
+    }
+}
+
 /// Tells other daemons of this daemon's requests in progress whenever they
 /// change: those of its failure domain at once, others less often, since bytes
 /// between domains and regions have a price.
@@ -320,6 +338,7 @@
     let heartbeat = Heartbeat {
         host: shared.settings.host.clone(),
         incarnation: shared.incarnation,
+        answering: shared.answering_for(clock::now()),
         claim,
         load: BTreeMap::new(),
     };
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -210,18 +210,6 @@
         };
     }
 
-    /// Returns how many entries known targets have written since those that are
-    /// known, or `None` if no target is known.
-    pub fn written(&self, entries: &[dialect::Entry]) -> Option<usize> {
-        let new = |entry: &dialect::Entry| {
-            let known = self.known.get(&entry.name)?;
-            let same = known.birth == entry.birth;
-            same.then(|| entry.sequence.saturating_sub(known.sequence) as usize)
-        };
-        let known = !self.known.is_empty();
-        known.then(|| entries.iter().filter_map(new).sum())
-    }
-
     /// Notes that the log answers after all and has served others meanwhile, so
     /// that removals are no effect of an outage.
     pub fn set_steady(&mut self) {
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
 use crate::clock;
@@ -15,6 +16,7 @@
 use crate::gateway::counters;
 use crate::gateway::dialect;
 use crate::gateway::keys;
+use crate::gateway::lending;
 use crate::gateway::peers;
 use crate::gateway::quota;
 use crate::gateway::registry;
@@ -41,6 +43,16 @@
     pub registry: RefCell<registry::Registry>,
     /// Whether the list of targets was read once.
     pub listed: Cell<bool>,
+    /// Start of this daemon's last read of the list of targets that was answered.
+    pub listed_at: Cell<Option<clock::Millis>>,
+    /// Time since which the log has answered all reads of the list of targets.
+    pub answering: Cell<Option<clock::Millis>>,
+    /// Begin of the last time in which the log did not answer.
+    pub out_since: Cell<Option<clock::Millis>>,
+    /// Reads that one daemon makes for its failure domain.
+    pub(crate) lending: RefCell<lending::Lending>,
+    /// Socket for messages to other daemons.
+    pub(crate) socket: Rc<UdpSocket>,
     /// What is known of the targets' speed and load.
     pub choice: RefCell<choice::Table>,
     /// Division of requests among the backends of routes.
@@ -52,7 +64,7 @@
     /// Requests to cold targets.
     pub cold: RefCell<HashMap<choice::Life, quota::Cold>>,
     /// Newest key table that this daemon knows.
-    pub table: RefCell<Option<Rc<keys::Table>>>,
+    pub table: RefCell<Option<(model::Offset, Rc<keys::Table>)>>,
     /// Wakes requests that wait for another owner.
     pub moved: Notify,
     /// Wakes calls that wait for records when the log returns from an outage.
@@ -75,7 +87,11 @@
 
 impl Shared {
     /// Returns the state of a daemon that knows nothing yet.
-    pub fn new(settings: settings::Settings, dialect: Rc<dyn dialect::Dialect>) -> Self {
+    pub fn new(
+        settings: settings::Settings,
+        dialect: Rc<dyn dialect::Dialect>,
+        socket: UdpSocket,
+    ) -> Self {
         Self {
             region: settings.region(&settings.domain).cloned(),
             peers: RefCell::new(peers::Directory::new(settings.host.clone())),
@@ -87,6 +103,11 @@
             taken_out: RefCell::default(),
             registry: RefCell::default(),
             listed: Cell::default(),
+            listed_at: Cell::default(),
+            answering: Cell::default(),
+            out_since: Cell::default(),
+            lending: RefCell::default(),
+            socket: Rc::new(socket),
             choice: RefCell::default(),
             splits: RefCell::default(),
             work: RefCell::default(),
