Treat a refused connection as proof only with a later list and a second refusal

Cause: a target that shuts down in order closes its listener first and holds its keys until its work has ended.

Ruled out: trusting the listed state at the time of the refusal. The log was out when the target left, so its entry was still listed as ready. The list now has to be read after the refusal, and on_targets takes the start of that read.

Without a list, keys of a target that refuses move at the end of its lease.

The caller in office.rs passes None until it knows when the list was read.

--- a/src/gateway/office.rs
+++ b/src/gateway/office.rs
@@ -176,7 +176,7 @@
                     state.on_load(now, shared.settings.host.clone(), service, figures);
                 }
             }
-            state.on_targets(now, members, services);
+            state.on_targets(now, None, members, services);
             let actions = state.poll(now, rank);
             drop(state);
             for action in actions {
--- a/src/gateway/steward.rs
+++ b/src/gateway/steward.rs
@@ -118,7 +118,8 @@
     Fenced,
     /// Refused for another reason.
     Rejected,
-    /// The connection was refused: nothing listens at the target's address.
+    /// The connection was refused: nothing listens at the target's address. A
+    /// target that leaves in order may still work and hold keys.
     Refused,
     /// No answer.
     Silent,
@@ -235,13 +236,50 @@
     last: clock::Millis,
     /// An order sent after the first was given up was not answered either.
     again: bool,
-    refused: bool,
+    refusal: Refusal,
+}
+
+/// What refused connections say of a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Refusal {
+    /// None was refused.
+    None,
+    /// One was refused at this time.
+    Refused(clock::Millis),
+    /// A later list, known from this time on, shows the target as ready.
+    Listed(clock::Millis),
+    /// A connection after that list was refused too: the process has ended.
+    Ended,
 }
 
 impl Quiet {
     fn is_silent(&self) -> bool {
         self.again && self.last.since(self.since) >= SILENCE
     }
+
+    /// Takes a refused connection for an order sent at `sent`.
+    fn refuse(&mut self, now: clock::Millis, sent: clock::Millis) {
+        self.refusal = match self.refusal {
+            Refusal::None => Refusal::Refused(now),
+            Refusal::Listed(known) if sent >= known => Refusal::Ended,
+            known => known,
+        };
+    }
+
+    /// Takes a list whose read started at `listed`. A target that leaves in
+    /// order is listed as leaving, or not at all, before it closes its listener.
+    fn list(&mut self, now: clock::Millis, listed: clock::Millis, ready: bool) {
+        self.refusal = match self.refusal {
+            Refusal::Refused(at) if listed > at && ready => Refusal::Listed(now),
+            Refusal::Listed(_) if !ready => Refusal::Refused(now),
+            known => known,
+        };
+    }
+
+    /// Returns whether the target gets no keys.
+    fn is_avoided(&self) -> bool {
+        self.refusal != Refusal::None || self.is_silent()
+    }
 }
 
 /// How an owner stands, which decides what happens to its keys.
@@ -452,18 +490,39 @@
     }
 
     /// Takes the targets and the keyed services as now known; targets that
-    /// `members` lacks are no longer known.
-    pub fn on_targets(&mut self, now: clock::Millis, members: Vec<Member>, services: Services) {
+    /// `members` lacks are no longer known. `listed` is the start of the last
+    /// successful read of the targets' list; without it, refused connections
+    /// never prove that a target holds nothing.
+    pub fn on_targets(
+        &mut self,
+        now: clock::Millis,
+        listed: Option<clock::Millis>,
+        members: Vec<Member>,
+        services: Services,
+    ) {
         let named = members.into_iter().map(|member| {
             let key = (member.service.clone(), member.owner.target.clone());
             (key, member)
         });
         self.members = named.collect();
         self.services = services;
+        if let Some(listed) = listed {
+            self.list_refused(now, listed);
+        }
         self.due = now;
         self.dirty = true;
     }
 
+    fn list_refused(&mut self, now: clock::Millis, listed: clock::Millis) {
+        for (owner, quiet) in &mut self.quiet {
+            let ready = |member: &Member| {
+                let listed = matches!(member.state, MemberState::Ready | MemberState::Cold);
+                listed && member.owner == *owner
+            };
+            quiet.list(now, listed, self.members.values().any(ready));
+        }
+    }
+
     /// Takes what a daemon says of load by bucket of 64 keys, in milliseconds
     /// of processing per second.
     pub fn on_load(
--- a/src/gateway/steward/orders.rs
+++ b/src/gateway/steward/orders.rs
@@ -41,7 +41,7 @@
         let order = self.orders.get_mut(&entry.id);
         let mut order = order.filter(|order| order.call == Some(call));
         let retry = match reply {
-            super::Reply::Silent => super::RETRY,
+            super::Reply::Silent | super::Reply::Refused => super::RETRY,
             _ => super::RENEWAL,
         };
         if let Some(order) = &mut order {
@@ -77,8 +77,7 @@
                 self.quiet.remove(&entry.owner);
             }
             (super::Reply::Refused, _) => {
-                self.holds.retain(|(_, owner, _), _| *owner != entry.owner);
-                self.unanswered(now, sent, &entry.owner).refused = true;
+                self.unanswered(now, sent, &entry.owner).refuse(now, sent);
             }
             (super::Reply::Rejected | super::Reply::Silent, _) => {
                 self.unanswered(now, sent, &entry.owner);
@@ -97,7 +96,7 @@
             given: now,
             last: now,
             again: false,
-            refused: false,
+            refusal: super::Refusal::None,
         });
         self.dirty = true;
         quiet.last = now;
--- a/tests/gateway_steward.rs
+++ b/tests/gateway_steward.rs
@@ -53,7 +53,7 @@
     fn new(members: Vec<steward::Member>) -> Self {
         let incarnation = model::Incarnation(1);
         let mut steward = steward::Steward::new("h0".into(), incarnation, Millis(0));
-        steward.on_targets(Millis(0), members, services());
+        steward.on_targets(Millis(0), None, members, services());
         Self {
             steward,
             now: 0,
@@ -167,7 +167,7 @@
     for rank in [0, 2] {
         let incarnation = model::Incarnation(2);
         let mut other = steward::Steward::new("h1".into(), incarnation, Millis(0));
-        other.on_targets(Millis(0), vec![ready("a"), ready("b")], services());
+        other.on_targets(Millis(0), None, vec![ready("a"), ready("b")], services());
         let (offset, end) = (model::Offset(0), model::Offset(1));
         other.poll(Millis(0), rank);
         other.on_record(Millis(5), Millis(0), offset, end, Some(old.clone()));
@@ -261,7 +261,8 @@
     let mut rig = Rig::new(members.clone());
     rig.run(6_000, done);
     let allowed = steward::Services::from([("s".into(), Some(["d".into()].into()))]);
-    rig.steward.on_targets(Millis(rig.now), members, allowed);
+    rig.steward
+        .on_targets(Millis(rig.now), None, members, allowed);
     rig.run(20, done);
     assert_eq!(rig.keys_of("a"), 65_536);
 }
@@ -272,7 +273,8 @@
     let mut rig = Rig::new(vec![ready("a"), ready("b")]);
     rig.run(6_000, done);
     let members = vec![ready("a"), ready("b"), ready("c")];
-    rig.steward.on_targets(Millis(rig.now), members, services());
+    rig.steward
+        .on_targets(Millis(rig.now), None, members, services());
     rig.run(2_500, done);
     assert!(
         rig.keys_of("c").abs_diff(65_536 / 3) < 1_500,
@@ -308,7 +310,8 @@
     rig.run(6_000, done);
     let leaving = member("a", 1.0, steward::MemberState::Leaving);
     let members = vec![leaving, ready("b")];
-    rig.steward.on_targets(Millis(rig.now), members, services());
+    rig.steward
+        .on_targets(Millis(rig.now), None, members, services());
     let orders = rig.run(50, |order| match order {
         steward::Action::Release { .. } => None,
         _ => Some(steward::Reply::Done(None)),
@@ -398,26 +401,58 @@
     );
 }
 
-/// Guards against a wait for a process that has ended.
-#[test]
-fn poll_refused_or_reborn_moves_at_once() {
-    let mut rig = Rig::new(vec![ready("a"), ready("b")]);
-    rig.run(6_000, done);
-    let refused = |order: &steward::Action| {
-        let refused = is_for(order, "a");
-        Some(if refused {
+fn refuse(name: &'static str) -> impl FnMut(&steward::Action) -> Option<steward::Reply> {
+    move |order| {
+        Some(if is_for(order, name) {
             steward::Reply::Refused
         } else {
             steward::Reply::Done(None)
         })
-    };
-    rig.run(1_100, refused);
+    }
+}
+
+/// Returns the time of the first grant for `name` that holds the first key, if
+/// there is one, and that of the last grant for the other target.
+fn taken(orders: &[(u64, steward::Action)], name: &str, other: &str) -> (Option<u64>, Option<u64>) {
+    let holds = |order: &steward::Action| grant_of(order).is_some_and(|g| g.range.contains(0));
+    let first = orders.iter().find(|(_, o)| is_for(o, name) && holds(o));
+    let last = orders.iter().rfind(|(_, o)| is_for(o, other) && holds(o));
+    (first.map(|(at, _)| *at), last.map(|(at, _)| *at))
+}
+
+/// Guards against a wait for a process that has ended, and against a proof
+/// from fewer than two refusals.
+#[test]
+fn poll_refused_twice_moves_at_once() {
+    let mut rig = Rig::new(vec![ready("a"), ready("b")]);
+    rig.run(6_000, done);
+    rig.run(1_100, refuse("a"));
+    let listed = Some(Millis(rig.now));
+    let members = vec![ready("a"), ready("b")];
+    rig.steward
+        .on_targets(Millis(rig.now), listed, members, services());
+    let at = rig.now;
+    let orders = rig.run(2_000, refuse("a"));
+    let second = orders.iter().find(|(_, o)| is_for(o, "a")).unwrap().0;
+    let first = taken(&orders, "b", "a").0.expect("not given away");
+    assert!(at <= second && second <= first, "{second} {first}");
+    assert!(
+        first < at + 500,
+        "the proof came at {second}, keys moved at {first}"
+    );
     assert_eq!(rig.keys_of("b"), 65_536);
+}
+
+/// Guards against a wait for the earlier birth of a target.
+#[test]
+fn on_targets_reborn_moves_at_once() {
+    let mut rig = Rig::new(vec![ready("b")]);
+    rig.run(6_000, done);
     let mut reborn = ready("b");
     reborn.owner.birth = 2;
     let fence = rig.runs()[0].fence;
     rig.steward
-        .on_targets(Millis(rig.now), vec![reborn], services());
+        .on_targets(Millis(rig.now), None, vec![reborn], services());
     let orders = rig.run(5, done);
     let run = &rig.runs()[0];
     assert_eq!(
@@ -427,6 +462,42 @@
     assert!(run.fence > fence && grant_of(&orders[0].1).is_some());
 }
 
+/// Guards against two owners when a target closes its listener and still works:
+/// its list is not known, too old, or shows it as leaving or not at all.
+#[test]
+fn poll_refused_without_proof_waits() {
+    let leaving = member("a", 1.0, steward::MemberState::Leaving);
+    let gone = member("a", 1.0, steward::MemberState::Gone);
+    for (listed, entry) in [
+        (None, Some(ready("a"))),
+        (Some(0), Some(ready("a"))),
+        (Some(1), Some(leaving)),
+        (Some(1), Some(gone)),
+        (Some(1), None),
+    ] {
+        let mut rig = Rig::new(vec![ready("a"), ready("b")]);
+        let mut orders = rig.run(6_000, done);
+        let start = rig.now;
+        let last = taken(&orders, "b", "a").1.unwrap();
+        orders = Vec::new();
+        for _ in 0..60 {
+            orders.extend(rig.run(100, refuse("a")));
+            let listed = listed.map(|fresh| Millis(if fresh == 1 { rig.now } else { start }));
+            let members = entry.iter().cloned().chain([ready("b")]).collect();
+            rig.steward
+                .on_targets(Millis(rig.now), listed, members, services());
+        }
+        let (first, again) = taken(&orders, "b", "a");
+        let end = again.unwrap_or(last) + 3_062 + 300;
+        let first = first.expect("not given away");
+        assert!(first >= end, "{listed:?} {entry:?}: {first} before {end}");
+        assert!(
+            first <= end + 100,
+            "{listed:?} {entry:?}: {first} after {end}"
+        );
+    }
+}
+
 /// Guards against a fence that is refused for ever.
 #[test]
 fn on_ordered_fenced_raises_fence() {
--- a/tests/gateway_steward/model.rs
+++ b/tests/gateway_steward/model.rs
@@ -20,6 +20,12 @@
 const RECOVERY: u64 = 15_000;
 const ORDER_TIMEOUT: u64 = 500;
 const LOG_TIMEOUT: u64 = 1_000;
+/// Time between the entry of a target that leaves and the end of its listener,
+/// in milliseconds.
+const CLOSING: u64 = 300;
+/// Time after which the entry of a target that was killed expires, in
+/// milliseconds.
+const EXPIRY: u64 = 4_000;
 
 /// What goes wrong.
 #[derive(Clone, Copy, Debug)]
@@ -35,6 +41,11 @@
     TargetSilent(usize),
     TargetLate(usize),
     TargetLeaves(usize),
+    /// A target is listed as leaving, or not at all, then closes its listener
+    /// while it holds its keys, and ends.
+    TargetCloses(usize, bool),
+    /// A target works and holds keys while its entry is missing.
+    EntryLost(usize),
     /// A daemon and a target reach each other and nothing else.
     Partition(usize, usize),
 }
@@ -69,6 +80,8 @@
         2 => target.clone().prop_map(Kind::TargetSilent),
         2 => target.clone().prop_map(Kind::TargetLate),
         1 => target.clone().prop_map(Kind::TargetLeaves),
+        3 => (target.clone(), any::<bool>()).prop_map(|(k, gone)| Kind::TargetCloses(k, gone)),
+        1 => target.clone().prop_map(Kind::EntryLost),
         3 => (daemon, target).prop_map(|(i, k)| Kind::Partition(i, k)),
     ];
     // A partition has to outlast the wait for leases of earlier stewards.
@@ -81,6 +94,8 @@
     Wake(usize, u64),
     Beat(usize, u64),
     List(usize, u64),
+    /// A list whose read started at the time given.
+    Listed(usize, u64, u64, Vec<steward::Member>),
     Send(usize, u64, steward::Action),
     Arrive(usize, u64, steward::Action),
     /// An order that arrived at the time given takes effect.
@@ -110,6 +125,8 @@
     birth: u64,
     alive: bool,
     warm: u64,
+    /// Time at which it was killed.
+    killed: u64,
     /// Real time per millisecond of the target's clock.
     rate: f64,
     fences: Vec<u64>,
@@ -160,6 +177,7 @@
             birth: 1,
             alive: true,
             warm: 0,
+            killed: 0,
             rate: 1.0 / rng.random_range(0.98..=1.0),
             fences: vec![0; BUCKETS],
             until: vec![0; BUCKETS],
@@ -189,6 +207,7 @@
                     world.put(at, Event::TargetStops(i));
                     world.put(end, Event::TargetStarts(i));
                 }
+                Kind::TargetCloses(i, _) => world.put(end, Event::TargetStarts(i)),
                 _ => {}
             }
         }
@@ -260,6 +279,7 @@
             Event::Wake(i, _) | Event::Heard(i, ..) => Some((*i, None)),
             Event::Beat(i, life)
             | Event::List(i, life)
+            | Event::Listed(i, life, ..)
             | Event::Send(i, life, _)
             | Event::Reply(i, life, ..)
             | Event::Appended(i, life, _)
@@ -307,6 +327,7 @@
             Event::Wake(..) => {}
             Event::Beat(i, life) => self.beat(i, life),
             Event::List(i, life) => self.list(i, life),
+            Event::Listed(i, _, started, members) => self.listed(i, started, members),
             Event::Send(i, life, action) => self.send(i, life, action),
             Event::Arrive(i, life, action) => self.arrive(i, life, action),
             Event::Apply(i, life, action, birth, at) => self.apply(i, life, action, birth, at),
@@ -335,7 +356,10 @@
             }
             Event::Heard(i, from, life, beat) => self.heard(i, from, life, beat),
             Event::DaemonStarts(i) => self.restart(i),
-            Event::TargetStops(i) => self.targets[i].alive = false,
+            Event::TargetStops(i) => {
+                self.targets[i].alive = false;
+                self.targets[i].killed = self.now;
+            }
             Event::TargetStarts(i) => {
                 let warm = self.now + 1_500;
                 let target = &mut self.targets[i];
@@ -504,44 +528,21 @@
         }
     }
 
-    /// Shows a daemon the targets as they are; daemons look about every 0.9 s.
+    /// Reads the list of targets for a daemon, about every 0.9 s. The list is
+    /// as it was before while the daemon can't read the log.
     fn list(&mut self, i: usize, life: u64) {
-        let state = |k: usize, target: &Target| {
-            if !target.alive {
-                steward::MemberState::Gone
-            } else if self.has(|kind| matches!(kind, Kind::TargetLeaves(t) if t == k)) {
-                steward::MemberState::Leaving
-            } else if self.now < target.warm {
-                steward::MemberState::Cold
-            } else {
-                steward::MemberState::Ready
-            }
-        };
-        let members = self
-            .targets
-            .iter()
-            .enumerate()
-            .map(|(k, target)| steward::Member {
-                owner: keys::Owner {
-                    target: format!("t{k}").as_str().into(),
-                    birth: target.birth,
-                },
-                service: "s".into(),
-                domain: "d".into(),
-                weight: 1.0 + k as f64 / 2.0,
-                state: state(k, target),
-            });
-        let members = members.collect();
-        let services = BTreeMap::from([("s".into(), None)]);
-        let now = Millis(self.now);
-        self.daemons[i].steward.on_targets(now, members, services);
+        if !self.is_log_lost(i) {
+            let entries = (0..TARGETS).filter_map(|k| self.entry(k)).collect();
+            let at = self.now + self.log_delay();
+            self.put(at, Event::Listed(i, life, self.now, entries));
+        }
         let hot = (0..8).map(|_| {
             (
                 self.rng.random_range(0..1_024),
                 self.rng.random_range(0.0..40.0),
             )
         });
-        let hot = hot.collect();
+        let (now, hot) = (Millis(self.now), hot.collect());
         self.daemons[i]
             .steward
             .on_load(now, host(i), "s".into(), hot);
@@ -550,6 +551,54 @@
         self.poll(i);
     }
 
+    fn listed(&mut self, i: usize, started: u64, members: Vec<steward::Member>) {
+        let services = BTreeMap::from([("s".into(), None)]);
+        let (now, listed) = (Millis(self.now), Some(Millis(started)));
+        let steward = &mut self.daemons[i].steward;
+        steward.on_targets(now, listed, members, services);
+        self.poll(i);
+    }
+
+    fn entry(&self, k: usize) -> Option<steward::Member> {
+        let target = &self.targets[k];
+        if self.has(|kind| matches!(kind, Kind::EntryLost(t) if t == k)) {
+            return None;
+        }
+        let expired = !target.alive && self.now >= target.killed + EXPIRY;
+        let gone = |kind| matches!(kind, Kind::TargetCloses(t, true) if t == k);
+        let leaves = |kind| match kind {
+            Kind::TargetLeaves(t) | Kind::TargetCloses(t, false) => t == k,
+            _ => false,
+        };
+        let state = if expired || self.has(gone) {
+            steward::MemberState::Gone
+        } else if self.has(leaves) {
+            steward::MemberState::Leaving
+        } else if self.now < target.warm {
+            steward::MemberState::Cold
+        } else {
+            steward::MemberState::Ready
+        };
+        Some(steward::Member {
+            owner: keys::Owner {
+                target: format!("t{k}").as_str().into(),
+                birth: target.birth,
+            },
+            service: "s".into(),
+            domain: "d".into(),
+            weight: 1.0 + k as f64 / 2.0,
+            state,
+        })
+    }
+
+    fn is_closed(&self, k: usize) -> bool {
+        let closed = |fault: &Fault| {
+            let closes = matches!(fault.kind, Kind::TargetCloses(t, _) if t == k);
+            closes && fault.is_on(self.now) && self.now >= fault.at + CLOSING
+        };
+        self.faults.iter().any(closed)
+    }
+
     fn send(&mut self, i: usize, life: u64, action: steward::Action) {
         let (call, _) = parts(&action);
         if !self.daemons[i].steward.may_send(Millis(self.now), call) {
@@ -575,7 +624,8 @@
         if !self.is_joined(i, k) {
             return;
         }
-        if !self.targets[k].alive || self.targets[k].birth != owner.birth {
+        let gone = !self.targets[k].alive || self.targets[k].birth != owner.birth;
+        if gone || self.is_closed(k) {
             let refused = steward::Reply::Refused;
             self.put(self.now + 1, Event::Reply(i, life, call, refused));
             return;
