Test that a missing entry never proves that a target holds nothing

Cause: an entry expires during an outage of the log while its target lives and holds keys. The steward's rules were read for a place that takes "unknown" as "holds nothing"; none was found. Owners missing from the list are asked, and their keys wait for the end of every lease, also of an earlier steward's.

Ruled out: the list that lags after a takeover (LAG), leases of 10 s given during an outage, and runs whose previous owner is missing.

Before: no directed test; a rule that takes a missing owner as lost passed the directed tests. After: that rule fails the three new tests.

--- a/tests/gateway_steward.rs
+++ b/tests/gateway_steward.rs
@@ -498,6 +498,82 @@
     }
 }
 
+fn lose(name: &'static str) -> impl FnMut(&steward::Action) -> Option<steward::Reply> {
+    move |order| {
+        Some(if is_for(order, name) {
+            steward::Reply::Silent
+        } else {
+            steward::Reply::Done(None)
+        })
+    }
+}
+
+/// Guards against two owners when the entry of a target that lives and holds
+/// keys is missing from the list: no proof follows from a missing entry.
+#[test]
+fn on_targets_unlisted_owner_waits() {
+    let mut rig = Rig::new(vec![ready("a"), ready("b")]);
+    let orders = rig.run(6_000, done);
+    let last = taken(&orders, "b", "a").1.unwrap();
+    let listed = Some(Millis(rig.now));
+    rig.steward
+        .on_targets(Millis(rig.now), listed, vec![ready("b")], services());
+    let orders = rig.run(5_000, lose("a"));
+    assert_eq!(taken(&orders, "b", "a"), (Some(last + 3_062 + 300), None));
+}
+
+/// Guards against a lease of an outage that is forgotten when the log answers
+/// again and the entry has expired.
+#[test]
+fn on_targets_unlisted_owner_after_outage() {
+    let mut rig = Rig::new(vec![ready("a"), ready("b")]);
+    rig.run(6_000, done);
+    rig.log_up = false;
+    let orders = rig.run(6_000, done);
+    let last = taken(&orders, "b", "a").1.unwrap();
+    rig.steward.on_unread(Millis(rig.now));
+    rig.log_up = true;
+    let listed = Some(Millis(rig.now));
+    rig.steward
+        .on_targets(Millis(rig.now), listed, vec![ready("b")], services());
+    let orders = rig.run(8_000, lose("a"));
+    assert_eq!(taken(&orders, "b", "a"), (Some(last + 10_205 + 300), None));
+}
+
+/// Guards against a new steward that gives away the keys of an owner missing
+/// from its list while leases of the earlier steward may last.
+#[test]
+fn on_targets_unlisted_owner_after_takeover() {
+    let mut old = Rig::new(vec![ready("a"), ready("b")]);
+    old.run(10, done);
+    let table = old.steward.table().cloned();
+    let incarnation = model::Incarnation(2);
+    let mut rig = Rig::new(Vec::new());
+    rig.steward = steward::Steward::new("h1".into(), incarnation, Millis(0));
+    rig.steward.poll(Millis(0), 0);
+    let (offset, end) = (model::Offset(0), model::Offset(1));
+    rig.steward
+        .on_record(Millis(1), Millis(0), offset, end, table);
+    (rig.now, rig.end) = (1, 1);
+    let listed = Some(Millis(rig.now));
+    rig.steward
+        .on_targets(Millis(rig.now), listed, vec![ready("b")], services());
+    while rig.tables.is_empty() {
+        rig.run(1, lose("a"));
+        assert!(rig.now < 5_000, "nobody took over");
+    }
+    let term = rig.now - 1;
+    // Grants that "a" answers keep it from being silent before it is missing.
+    let orders = rig.run(15_000, |order| match order {
+        steward::Action::Release { .. } => Some(steward::Reply::Silent),
+        _ => Some(steward::Reply::Done(None)),
+    });
+    let first = taken(&orders, "b", "a").0;
+    let earliest = term + steward::RIGHT + 10_205 + 300;
+    assert!(first >= Some(earliest), "{first:?} before {earliest}");
+    assert!(first <= Some(earliest + 100), "{first:?} after {earliest}");
+}
+
 /// Guards against a fence that is refused for ever.
 #[test]
 fn on_ordered_fenced_raises_fence() {
