Balance keyed load in buckets of 16 keys with up to four moves a second

Cause: the planner moved one piece every 2 s, from the end of a run and in buckets of 64 keys, while hot keys change within seconds. Runs that only got a new fence to merge also counted as moved and rested.

Moves take either end of a run, the buckets around its hottest one, or a whole run, scored by how far they lower the highest load per key and per added run. Reports may come at any rate; their noise is smoothed, and a change by more than a factor of two counts at once. A settled service changes from 1.2 of a fair share and is evened out to 1.1, so that noise of 30% moves nothing.

Ruled out: smoothing of every change, and a score without the receiver's excess.

No moves over 30 s with noise of 30%, or with loads within 15%.

The model of the platform counts in the same buckets, keys::BUCKET. The constant in exchange.rs still has to be replaced by it.

--- a/src/gateway/keys.rs
+++ b/src/gateway/keys.rs
@@ -8,6 +8,10 @@
 use crate::gateway::dialect;
 use crate::model;
 
+/// Number of keys of one bucket, the unit in which load is counted and runs are
+/// split.
+pub const BUCKET: u16 = 16;
+
 /// One life of a target that owns keys.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Owner {
--- a/src/gateway/steward.rs
+++ b/src/gateway/steward.rs
@@ -4,12 +4,14 @@
 //! caller reports what happened, polls for actions, and carries them out.
 //! `docs/platform.md` section 4 gives the rules.
 
+mod balance;
+mod load;
 mod orders;
 mod plan;
 mod revise;
 mod topic;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, btree_map};
 use std::sync::Arc;
 
 use crate::clock;
@@ -58,9 +60,9 @@
 /// repeated, in milliseconds.
 const RETRY: u64 = 250;
 /// Time between batches of moves, in milliseconds.
-const BATCH: u64 = 2_000;
+const BATCH: u64 = 1_000;
 /// Time for which keys stay where they were moved, in milliseconds.
-const REST: u64 = 5_000;
+const REST: u64 = 3_000;
 /// Time after which figures of load are dropped, in milliseconds.
 const FRESH: u64 = 5_000;
 /// Time for which completed moves stay in the table, in milliseconds: several
@@ -295,8 +297,6 @@
     Reborn(keys::Owner),
 }
 
-type Figures = Vec<(u16, f32)>;
-
 /// State machine of one daemon.
 #[derive(Clone, Debug)]
 pub struct Steward {
@@ -315,7 +315,7 @@
     blank: clock::Millis,
     members: BTreeMap<(model::ServiceName, model::TargetName), Member>,
     services: Services,
-    loads: BTreeMap<(model::HostName, model::ServiceName), (clock::Millis, Figures)>,
+    loads: BTreeMap<(model::HostName, model::ServiceName), load::Load>,
     orders: BTreeMap<Id, Order>,
     calls: BTreeMap<u64, Call>,
     last: u64,
@@ -523,8 +523,9 @@
         }
     }
 
-    /// Takes what a daemon says of load by bucket of 64 keys, in milliseconds
-    /// of processing per second.
+    /// Takes what a daemon says of load by bucket of [`keys::BUCKET`] keys, in
+    /// milliseconds of processing per second. Reports may come at any rate;
+    /// their figures are smoothed.
     pub fn on_load(
         &mut self,
         now: clock::Millis,
@@ -532,7 +533,12 @@
         service: model::ServiceName,
         figures: Vec<(u16, f32)>,
     ) {
-        self.loads.insert((from, service), (now, figures));
+        match self.loads.entry((from, service)) {
+            btree_map::Entry::Occupied(mut entry) => entry.get_mut().update(now, figures),
+            btree_map::Entry::Vacant(entry) => {
+                entry.insert(load::Load::new(now, figures));
+            }
+        }
     }
 
     /// Returns what has to be done now. `rank` is this daemon's rank among the
@@ -591,7 +597,7 @@
     }
 
     fn expire(&mut self, now: clock::Millis) {
-        self.loads.retain(|_, (at, _)| now.since(*at) <= FRESH);
+        self.loads.retain(|_, load| now.since(load.at) <= FRESH);
         self.holds.retain(|_, until| *until > now);
         self.quiet
             .retain(|_, quiet| now.since(quiet.last) < AVOIDANCE);
--- a/src/gateway/steward/plan.rs
+++ b/src/gateway/steward/plan.rs
@@ -3,21 +3,16 @@
 use crate::gateway::dialect;
 use crate::gateway::keys;
 
-/// Keys of one bucket, the unit in which load is counted and runs are split.
-pub const BUCKET: u32 = 64;
-
-const BUCKETS: usize = 1_024;
+const BUCKET: u32 = keys::BUCKET as u32;
+const BUCKETS: usize = 65_536 / BUCKET as usize;
 /// Part of all work that is spread evenly over the buckets, so that keys
 /// without figures still count.
-const EVEN: f64 = 0.1;
+const EVEN: f64 = 0.05;
 /// Part of a fair share below which no run is split off, to keep runs few.
 const LEAST: f64 = 0.25;
 /// Part by which a run may be too large before it is split.
 const SLACK: f64 = 1.1;
-/// Surplus over the fair share, relative to the mean, from which keys move.
-const SURPLUS: f64 = 0.25;
-/// Least part of a target's load that a move must remove, or of a new target's
-/// fair share that it must add.
+/// Least part of a new target's fair share that a move must add.
 const RELIEF: f64 = 0.1;
 
 /// A target that may receive keys.
@@ -60,10 +55,11 @@
     pub owner: keys::Owner,
 }
 
-/// Work of each bucket, in milliseconds of processing per second.
+/// Work of the buckets, in milliseconds of processing per second.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Work {
-    buckets: Vec<f64>,
+    /// Work of all buckets before each one, and of all.
+    sums: Vec<f64>,
     measured: bool,
 }
 
@@ -78,57 +74,98 @@
         }
         let total: f64 = buckets.iter().sum();
         let even = (total * EVEN).max(1.0) / BUCKETS as f64;
-        buckets.iter_mut().for_each(|work| *work += even);
+        let sums = buckets.iter().scan(0.0, |sum, work| {
+            *sum += work + even;
+            Some(*sum)
+        });
         Self {
-            buckets,
+            sums: std::iter::once(0.0).chain(sums).collect(),
             measured: total > 0.0,
         }
     }
 
+    /// Returns whether there are figures.
+    pub fn is_measured(&self) -> bool {
+        self.measured
+    }
+
     /// Returns the work of a range.
     pub fn of(&self, range: dialect::Range) -> f64 {
-        let (first, last) = (u32::from(range.first), u32::from(range.last));
-        let parts = (first / BUCKET..=last / BUCKET).map(|bucket| {
-            let from = first.max(bucket * BUCKET);
-            let to = last.min(bucket * BUCKET + BUCKET - 1);
-            self.buckets[bucket as usize] * f64::from(to + 1 - from) / f64::from(BUCKET)
-        });
-        parts.sum()
+        self.before(u32::from(range.last) + 1) - self.before(range.first.into())
+    }
+
+    /// Returns the work of all keys before `key`.
+    fn before(&self, key: u32) -> f64 {
+        let (bucket, rest) = ((key / BUCKET) as usize, key % BUCKET);
+        let sum = self.sums[bucket];
+        let part = f64::from(rest) / f64::from(BUCKET);
+        sum + self
+            .sums
+            .get(bucket + 1)
+            .map_or(0.0, |next| (next - sum) * part)
     }
 
     /// Returns the first key of a bucket inside `range` at which the work
     /// before it is nearest to `amount`.
-    fn cut(&self, range: dialect::Range, amount: f64) -> Option<u16> {
-        let mut before = 0.0;
-        let mut first = u32::from(range.first);
-        let mut best: Option<(f64, u16)> = None;
+    pub fn cut(&self, range: dialect::Range, amount: f64) -> Option<u16> {
+        let first = u32::from(range.first) / BUCKET + 1;
+        let starts = (first..=u32::from(range.last) / BUCKET).map(|bucket| bucket * BUCKET);
+        let start = self.before(range.first.into());
+        let error = |key: u32| (self.before(key) - start - amount).abs();
+        let best = starts.min_by(|&a, &b| error(a).total_cmp(&error(b)));
+        best.map(|key| key as u16)
+    }
+
+    /// Returns the part of the bucket that holds `key` inside `range`.
+    fn bucket(key: u16, range: dialect::Range) -> dialect::Range {
+        let first = key / keys::BUCKET * keys::BUCKET;
+        let last = first + (keys::BUCKET - 1);
+        span(first.max(range.first), last.min(range.last))
+    }
+
+    /// Returns the bucket of `range` with the most work.
+    pub fn hottest(&self, range: dialect::Range) -> dialect::Range {
+        let buckets = range.first / keys::BUCKET..=range.last / keys::BUCKET;
+        let parts = buckets.map(|i| Self::bucket(i * keys::BUCKET, range));
+        let hottest = parts.max_by(|a, b| self.of(*a).total_cmp(&self.of(*b)));
+        hottest.unwrap_or(range)
+    }
+
+    /// Adds the busier neighbour to `part`, inside `range`, while its work
+    /// stays within `amount`.
+    pub fn grow(&self, part: dialect::Range, range: dialect::Range, amount: f64) -> dialect::Range {
+        let mut part = part;
         loop {
-            let next = (first / BUCKET + 1) * BUCKET;
-            if next > u32::from(range.last) {
-                return best.map(|(_, key)| key);
+            let before = (part.first > range.first).then(|| Self::bucket(part.first - 1, range));
+            let after = (part.last < range.last).then(|| Self::bucket(part.last + 1, range));
+            let sides = before.into_iter().chain(after);
+            let side = sides.max_by(|a, b| self.of(*a).total_cmp(&self.of(*b)));
+            match side {
+                Some(side) if self.of(part) + self.of(side) <= amount => {
+                    part = span(part.first.min(side.first), part.last.max(side.last));
+                }
+                _ => return part,
             }
-            before += self.of(span(first as u16, next as u16 - 1));
-            let error = (before - amount).abs();
-            if best.is_none_or(|(least, _)| error < least) {
-                best = Some((error, next as u16));
-            }
-            first = next;
         }
     }
 }
 
-fn span(first: u16, last: u16) -> dialect::Range {
+/// Returns the range from `first` to `last`.
+pub fn span(first: u16, last: u16) -> dialect::Range {
     dialect::Range { first, last }
 }
 
 /// Loads and fair shares of the seats.
-struct Scale {
-    load: Vec<f64>,
-    fair: Vec<f64>,
+pub struct Scale {
+    /// Work of each seat's keys.
+    pub load: Vec<f64>,
+    /// Work that each seat should have by its weight.
+    pub fair: Vec<f64>,
 }
 
 impl Scale {
-    fn new(pieces: &[Piece], seats: &[Seat], work: &Work) -> Self {
+    /// Weighs the pieces that have an owner.
+    pub fn new(pieces: &[Piece], seats: &[Seat], work: &Work) -> Self {
         let total = work.of(dialect::Range::ALL);
         let weights: f64 = seats.iter().map(|seat| seat.weight.max(0.01)).sum();
         let fair = |seat: &Seat| total * seat.weight.max(0.01) / weights;
@@ -146,10 +183,15 @@
     }
 
     /// Returns how far a seat is above its fair share.
-    fn surplus(&self, seat: usize) -> f64 {
+    pub fn surplus(&self, seat: usize) -> f64 {
         self.load[seat] - self.fair[seat]
     }
 
+    /// Returns a seat's load relative to its fair share.
+    pub fn ratio(&self, seat: usize) -> f64 {
+        self.load[seat] / self.fair[seat]
+    }
+
     fn least(&self) -> Option<usize> {
         (0..self.load.len()).min_by(|&a, &b| self.surplus(a).total_cmp(&self.surplus(b)))
     }
@@ -207,28 +249,6 @@
     moves
 }
 
-/// Moves a part of the busiest seat's load to the least busy one.
-pub fn balance(pieces: &[Piece], seats: &[Seat], work: &Work) -> Option<Move> {
-    if !work.measured {
-        return None;
-    }
-    let scale = Scale::new(pieces, seats, work);
-    let mean = work.of(dialect::Range::ALL) / seats.len().max(1) as f64;
-    let seat = scale.least()?;
-    let (piece, donor) = donor(pieces, seats, &scale, work)?;
-    let surplus = scale.surplus(donor);
-    if donor == seat || surplus <= SURPLUS * mean {
-        return None;
-    }
-    let amount = surplus.min(-scale.surplus(seat));
-    let range = tail(pieces[piece].range, amount, work)?;
-    let moved = work.of(range);
-    // A hot bucket can't be divided: moving it must not overload the receiver.
-    let helps = moved >= RELIEF * scale.load[donor] && moved < surplus - scale.surplus(seat);
-    let owner = seats[seat].owner.clone();
-    helps.then_some(Move { range, owner })
-}
-
 /// Returns the largest free piece of the busiest seat that has one.
 fn donor(pieces: &[Piece], seats: &[Seat], scale: &Scale, work: &Work) -> Option<(usize, usize)> {
     let free = pieces.iter().enumerate().filter_map(|(i, piece)| {
--- a/src/gateway/steward/revise.rs
+++ b/src/gateway/steward/revise.rs
@@ -1,5 +1,6 @@
 //! Changes of the table.
 
+use super::balance;
 use super::plan;
 use crate::clock;
 use crate::gateway::keys;
@@ -157,7 +158,7 @@
             return Vec::new();
         }
         let figures = self.loads.iter().filter(|((_, of), _)| of == service);
-        let work = plan::Work::new(figures.flat_map(|(_, (_, figures))| figures.iter().copied()));
+        let work = plan::Work::new(figures.flat_map(|(_, load)| load.figures()));
         if loose {
             return plan::place(&pieces, &seats, &work);
         }
@@ -166,7 +167,8 @@
         }
         let joined = plan::join(&pieces, &seats, &work);
         if joined.is_empty() {
-            return plan::balance(&pieces, &seats, &work).into_iter().collect();
+            let settled = !self.moved.iter().any(|(of, ..)| of == service);
+            return balance::balance(&pieces, &seats, &work, settled);
         }
         joined
     }
--- a/src/gateway/steward/topic.rs
+++ b/src/gateway/steward/topic.rs
@@ -81,7 +81,8 @@
                     ..super::Order::default()
                 });
                 orders.insert(id, order);
-                if run.fence == offset.0 + 1 {
+                // A new fence alone, as for runs that merge, is no move.
+                if run.fence == offset.0 + 1 && run.prior.is_some() {
                     self.moved.push((service.clone(), run.range, now));
                 }
             }
--- a/tests/gateway_steward.rs
+++ b/tests/gateway_steward.rs
@@ -1,6 +1,8 @@
 //! The steward in directed cases, and against a model of the log and of
 //! targets that check fences and leases.
 
+#[path = "gateway_steward/load.rs"]
+mod load;
 #[path = "gateway_steward/model.rs"]
 mod world;
 
--- a/tests/gateway_steward/model.rs
+++ b/tests/gateway_steward/model.rs
@@ -12,7 +12,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-const BUCKETS: usize = 1_024;
+const BUCKETS: usize = 65_536 / keys::BUCKET as usize;
 const TARGETS: usize = 4;
 /// Time up to which faults begin, in milliseconds.
 const FAULTS: u64 = 20_000;
@@ -158,7 +158,8 @@
 }
 
 fn buckets(range: dialect::Range) -> std::ops::RangeInclusive<usize> {
-    usize::from(range.first) / 64..=usize::from(range.last) / 64
+    let bucket = |key| usize::from(key / keys::BUCKET);
+    bucket(range.first)..=bucket(range.last)
 }
 
 impl World {
@@ -538,7 +539,7 @@
         }
         let hot = (0..8).map(|_| {
             (
-                self.rng.random_range(0..1_024),
+                self.rng.random_range(0..BUCKETS as u16),
                 self.rng.random_range(0.0..40.0),
             )
         });
