--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -33,9 +33,6 @@
 /// Pause after which a refused caller may come back, in milliseconds.
 const PAUSE: u64 = 250;
 
-/// Keys that are counted together.
-const BUCKET: u16 = 64;
-
 /// Part of the memory that bodies may take.
 const BODY_SHARE: usize = 4;
 
@@ -242,7 +239,7 @@
     };
     let mut demand = shared.demand.borrow_mut();
     let buckets = demand.entry(ask.service.name.clone()).or_default();
-    *buckets.entry(key / BUCKET).or_default() += ask.work as f32;
+    *buckets.entry(key / keys::BUCKET).or_default() += ask.work as f32;
 }
 
 fn refuse(shared: &Shared, why: &'static str) -> http::Response<Body> {
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -30,7 +30,7 @@
 const OPERATOR_WAIT: u64 = 4_000;
 
 /// Time for an answer of the log beside the time that a read waits, in milliseconds.
-const ANSWER: u64 = 1_000;
+pub(crate) const ANSWER: u64 = 1_000;
 
 /// Time for a connection to the log.
 const CONNECT: Duration = Duration::from_millis(500);
--- a/src/gateway/office.rs
+++ b/src/gateway/office.rs
@@ -37,9 +37,6 @@
 /// Time for which a read of the table waits for a record, in milliseconds.
 const WAIT: u64 = 10_000;
 
-/// Pause after a read that failed, in milliseconds.
-const PAUSE: u64 = 400;
-
 type Steward = Rc<RefCell<steward::Steward>>;
 
 /// Starts the steward's tasks.
@@ -105,6 +102,11 @@
             }
             peers::Message::Loan(loan) => return shared.lending.borrow_mut().on_loan(loan),
             peers::Message::Pulse(pulse) => {
+                // The reader's call began at most the time for an answer ago.
+                let began = now - feed::ANSWER;
+                shared
+                    .listed_at
+                    .set(shared.listed_at.get().max(Some(began)));
                 return shared.lending.borrow_mut().on_pulse(pulse, now);
             }
         };
--- a/src/gateway/steward.rs
+++ b/src/gateway/steward.rs
@@ -4,12 +4,14 @@
 //! caller reports what happened, polls for actions, and carries them out.
 //! `docs/platform.md` section 4 gives the rules.
 
+mod balance;
+mod load;
 mod orders;
 mod plan;
 mod revise;
 mod topic;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, btree_map};
 use std::sync::Arc;
 
 use crate::clock;
@@ -58,9 +60,9 @@
 /// repeated, in milliseconds.
 const RETRY: u64 = 250;
 /// Time between batches of moves, in milliseconds.
-const BATCH: u64 = 2_000;
+const BATCH: u64 = 1_000;
 /// Time for which keys stay where they were moved, in milliseconds.
-const REST: u64 = 5_000;
+const REST: u64 = 3_000;
 /// Time after which figures of load are dropped, in milliseconds.
 const FRESH: u64 = 5_000;
 /// Time for which completed moves stay in the table, in milliseconds: several
@@ -118,7 +120,8 @@
     Fenced,
     /// Refused for another reason.
     Rejected,
-    /// The connection was refused: nothing listens at the target's address.
+    /// The connection was refused: nothing listens at the target's address. A
+    /// target that leaves in order may still work and hold keys.
     Refused,
     /// No answer.
     Silent,
@@ -235,13 +238,50 @@
     last: clock::Millis,
     /// An order sent after the first was given up was not answered either.
     again: bool,
-    refused: bool,
+    refusal: Refusal,
+}
+
+/// What refused connections say of a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Refusal {
+    /// None was refused.
+    None,
+    /// One was refused at this time.
+    Refused(clock::Millis),
+    /// A later list, known from this time on, shows the target as ready.
+    Listed(clock::Millis),
+    /// A connection after that list was refused too: the process has ended.
+    Ended,
 }
 
 impl Quiet {
     fn is_silent(&self) -> bool {
         self.again && self.last.since(self.since) >= SILENCE
     }
+
+    /// Takes a refused connection for an order sent at `sent`.
+    fn refuse(&mut self, now: clock::Millis, sent: clock::Millis) {
+        self.refusal = match self.refusal {
+            Refusal::None => Refusal::Refused(now),
+            Refusal::Listed(known) if sent >= known => Refusal::Ended,
+            known => known,
+        };
+    }
+
+    /// Takes a list whose read started at `listed`. A target that leaves in
+    /// order is listed as leaving, or not at all, before it closes its listener.
+    fn list(&mut self, now: clock::Millis, listed: clock::Millis, ready: bool) {
+        self.refusal = match self.refusal {
+            Refusal::Refused(at) if listed > at && ready => Refusal::Listed(now),
+            Refusal::Listed(_) if !ready => Refusal::Refused(now),
+            known => known,
+        };
+    }
+
+    /// Returns whether the target gets no keys.
+    fn is_avoided(&self) -> bool {
+        self.refusal != Refusal::None || self.is_silent()
+    }
 }
 
 /// How an owner stands, which decides what happens to its keys.
@@ -257,8 +297,6 @@
     Reborn(keys::Owner),
 }
 
-type Figures = Vec<(u16, f32)>;
-
 /// State machine of one daemon.
 #[derive(Clone, Debug)]
 pub struct Steward {
@@ -277,7 +315,7 @@
     blank: clock::Millis,
     members: BTreeMap<(model::ServiceName, model::TargetName), Member>,
     services: Services,
-    loads: BTreeMap<(model::HostName, model::ServiceName), (clock::Millis, Figures)>,
+    loads: BTreeMap<(model::HostName, model::ServiceName), load::Load>,
     orders: BTreeMap<Id, Order>,
     calls: BTreeMap<u64, Call>,
     last: u64,
@@ -452,20 +490,42 @@
     }
 
     /// Takes the targets and the keyed services as now known; targets that
-    /// `members` lacks are no longer known.
-    pub fn on_targets(&mut self, now: clock::Millis, members: Vec<Member>, services: Services) {
+    /// `members` lacks are no longer known. `listed` is the start of the last
+    /// successful read of the targets' list; without it, refused connections
+    /// never prove that a target holds nothing.
+    pub fn on_targets(
+        &mut self,
+        now: clock::Millis,
+        listed: Option<clock::Millis>,
+        members: Vec<Member>,
+        services: Services,
+    ) {
         let named = members.into_iter().map(|member| {
             let key = (member.service.clone(), member.owner.target.clone());
             (key, member)
         });
         self.members = named.collect();
         self.services = services;
+        if let Some(listed) = listed {
+            self.list_refused(now, listed);
+        }
         self.due = now;
         self.dirty = true;
     }
 
-    /// Takes what a daemon says of load by bucket of 64 keys, in milliseconds
-    /// of processing per second.
+    fn list_refused(&mut self, now: clock::Millis, listed: clock::Millis) {
+        for (owner, quiet) in &mut self.quiet {
+            let ready = |member: &Member| {
+                let listed = matches!(member.state, MemberState::Ready | MemberState::Cold);
+                listed && member.owner == *owner
+            };
+            quiet.list(now, listed, self.members.values().any(ready));
+        }
+    }
+
+    /// Takes what a daemon says of load by bucket of [`keys::BUCKET`] keys, in
+    /// milliseconds of processing per second. Reports may come at any rate;
+    /// their figures are smoothed.
     pub fn on_load(
         &mut self,
         now: clock::Millis,
@@ -473,7 +533,12 @@
         service: model::ServiceName,
         figures: Vec<(u16, f32)>,
     ) {
-        self.loads.insert((from, service), (now, figures));
+        match self.loads.entry((from, service)) {
+            btree_map::Entry::Occupied(mut entry) => entry.get_mut().update(now, figures),
+            btree_map::Entry::Vacant(entry) => {
+                entry.insert(load::Load::new(now, figures));
+            }
+        }
     }
 
     /// Returns what has to be done now. `rank` is this daemon's rank among the
@@ -532,7 +597,7 @@
     }
 
     fn expire(&mut self, now: clock::Millis) {
-        self.loads.retain(|_, (at, _)| now.since(*at) <= FRESH);
+        self.loads.retain(|_, load| now.since(load.at) <= FRESH);
         self.holds.retain(|_, until| *until > now);
         self.quiet
             .retain(|_, quiet| now.since(quiet.last) < AVOIDANCE);
