--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -186,7 +186,18 @@
                     lending::Received::Nothing => 0,
                 }
             }
-            Some(_) => read_on(&shared, &plan, plan.wait, &mut from, &mut reader).await,
+            Some(offset) => {
+                let read = read_on(&shared, &plan, plan.wait, &mut from, &mut reader);
+                let read = tokio::select! {
+                    pause = read => Some(pause),
+                    // A call that waits may miss a record that another daemon has read.
+                    _ = lending::newer(&shared, &plan, &mut inbox, offset) => None,
+                };
+                match read {
+                    Some(pause) => pause,
+                    None => read_on(&shared, &plan, 0, &mut from, &mut reader).await,
+                }
+            }
         };
         if pause > 0 {
             tokio::time::sleep(Duration::from_millis(pause)).await;
--- a/src/gateway/lending.rs
+++ b/src/gateway/lending.rs
@@ -192,6 +192,25 @@
     }
 }
 
+/// Waits until the reader is known to have read past `from`.
+pub(crate) async fn newer(
+    shared: &Shared,
+    plan: &feed::Plan,
+    inbox: &mut Inbox,
+    from: model::Offset,
+) {
+    while let Some(message) = inbox.recv().await {
+        let next = match message {
+            Some(loan) => Some(loan.next),
+            None => shared.lending.borrow().known(plan.topic),
+        };
+        if next > Some(from) {
+            return;
+        }
+    }
+    std::future::pending().await
+}
+
 fn batch(loan: Loan) -> dialect::Batch {
     let records = loan
         .records
