--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -35,6 +35,31 @@
 /// Requests per slot above which a target is full.
 const FULL: f64 = 2.5;
 
+/// Least weight of a new observation of a route's work.
+const WORK_WEIGHT: f64 = 0.05;
+
+/// Time that a route's requests take at a target of mean speed, in milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Work {
+    mean: f64,
+    seen: u32,
+}
+
+impl Work {
+    /// Takes the time of an answer that did not wait. The first ones count in
+    /// full, so that a wrong first guess is soon forgotten.
+    pub fn learn(&mut self, time: f64) {
+        self.seen = self.seen.saturating_add(1);
+        let weight = (1.0 / f64::from(self.seen)).max(WORK_WEIGHT);
+        self.mean += weight * (time - self.mean);
+    }
+
+    /// Returns the mean, or `None` if nothing was seen.
+    pub fn mean(self) -> Option<f64> {
+        (self.seen > 0).then_some(self.mean)
+    }
+}
+
 /// How a request to a target ended.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum End {
--- a/src/gateway/client.rs
+++ b/src/gateway/client.rs
@@ -126,23 +126,25 @@
     ///
     /// # Errors
     /// Says whether the request may have reached the peer.
+    /// The connection is used again only if `keep` accepts the answer.
     pub async fn send(
         &self,
         peer: Peer,
         request: http::Request<Bytes>,
         connect: Duration,
+        keep: impl Fn(&http::HeaderMap) -> bool,
     ) -> Result<http::Response<Body>, Failure> {
         let mut request = request.map(Full::new);
         while let Some(connection) = self.take(peer) {
             match Self::exchange(connection, request).await {
-                Ok(done) => return Ok(self.settle(peer, done)),
+                Ok(done) => return Ok(self.settle(peer, done, keep)),
                 Err((failure, None)) => return Err(failure),
                 Err((_, Some(unsent))) => request = unsent,
             }
         }
         let connection = open(peer.address, connect).await?;
         match Self::exchange(connection, request).await {
-            Ok(done) => Ok(self.settle(peer, done)),
+            Ok(done) => Ok(self.settle(peer, done, keep)),
             Err((failure, _)) => Err(failure),
         }
     }
@@ -157,7 +159,8 @@
         request: http::Request<Bytes>,
         connect: Duration,
     ) -> Result<http::Response<Bytes>, Failure> {
-        let (parts, body) = self.send(peer, request, connect).await?.into_parts();
+        let response = self.send(peer, request, connect, |_| true).await?;
+        let (parts, body) = response.into_parts();
         let bytes = match body {
             Body::Whole(bytes) => bytes,
             Body::Partial(first, mut rest) => {
@@ -227,11 +230,16 @@
     }
 
     /// Keeps the connection for the next request if it can serve one.
-    fn settle(&self, peer: Peer, (response, connection): Done) -> http::Response<Body> {
+    fn settle(
+        &self,
+        peer: Peer,
+        (response, connection): Done,
+        keep: impl Fn(&http::HeaderMap) -> bool,
+    ) -> http::Response<Body> {
         let Some(mut connection) = connection else {
             return response;
         };
-        if !connection.sender.is_closed() {
+        if !connection.sender.is_closed() && keep(response.headers()) {
             connection.until = clock::now() + idle_time(response.headers());
             self.idle
                 .borrow_mut()
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -59,8 +59,6 @@
             request:? = id,
             route = &*self.route.name,
             status = status.as_u16(),
-            key:? = self.key,
-            bytes = self.body.len(),
             read_ms = self.read.since(self.start),
             ms = clock::now().since(self.start);
             "request ended"
@@ -113,7 +111,7 @@
             ask.trace(&shared, response.status());
             response
         }
-        Err(refusal) => refusal,
+        Err(refusal) => refusal.reply(),
     };
     guard.done.set(true);
     if shared.stopping.get() {
@@ -125,21 +123,38 @@
     response
 }
 
+/// Why a request is refused before anything is sent.
+enum Refusal {
+    /// The request is faulty, answered with this status.
+    Fault(u16, &'static str),
+    /// The request may come back.
+    NotNow(&'static str),
+}
+
+impl Refusal {
+    fn reply(self) -> http::Response<Body> {
+        match self {
+            Self::Fault(status, why) => reply::fault(status, why),
+            Self::NotNow(why) => reply::refusal(why, PAUSE),
+        }
+    }
+}
+
 /// Resolves the request's route and reads its body.
 async fn read(
     shared: &Shared,
     guard: &Guard<'_>,
     request: http::Request<Incoming>,
     start: clock::Millis,
-) -> Result<Ask, http::Response<Body>> {
+) -> Result<Ask, Refusal> {
     let Some(catalog) = shared.catalog.borrow().clone() else {
-        return Err(reply::refusal("no configuration yet", PAUSE));
+        return Err(Refusal::NotNow("no configuration yet"));
     };
     let (parts, body) = request.into_parts();
-    let host = head::host(&parts).ok_or_else(|| reply::fault(400, "a host is missing"))?;
+    let host = head::host(&parts).ok_or(Refusal::Fault(400, "a host is missing"))?;
     let route = catalog
         .resolve(host, parts.uri.path())
-        .ok_or_else(|| reply::fault(404, "no route"))?;
+        .ok_or(Refusal::Fault(404, "no route"))?;
     let route = Rc::clone(route);
     let body = read_body(shared, guard, &catalog, body).await?;
     let service = pick_service(shared, &catalog, &route)?;
@@ -148,8 +163,8 @@
         true => Some(
             head::number(&parts.headers, &names.key)
                 .and_then(|key| u16::try_from(key).ok())
-                .ok_or_else(|| {
-                    reply::fault(400, "the key is missing or no number from 0 to 65535")
+                .ok_or({
+                    Refusal::Fault(400, "the key is missing or no number from 0 to 65535")
                 })?,
         ),
         false => None,
@@ -178,21 +193,21 @@
     guard: &Guard<'_>,
     catalog: &catalog::Catalog,
     mut body: Incoming,
-) -> Result<Bytes, http::Response<Body>> {
+) -> Result<Bytes, Refusal> {
     let limit = catalog.limits().body_bytes;
     let room = (shared.settings.capacity.memory_mb as usize) * (1 << 20) / BODY_SHARE;
     let mut bytes = bytes::BytesMut::new();
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| reply::fault(400, "the body ended early"))?;
+        let frame = frame.map_err(|_| Refusal::Fault(400, "the body ended early"))?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
         if bytes.len() + data.len() > limit {
-            return Err(reply::fault(413, "the body is too long"));
+            return Err(Refusal::Fault(413, "the body is too long"));
         }
         guard.hold(data.len());
         if shared.held.get() > room {
-            return Err(reply::refusal("no memory for the body", PAUSE));
+            return Err(Refusal::NotNow("no memory for the body"));
         }
         bytes.extend_from_slice(&data);
     }
@@ -203,16 +218,17 @@
     shared: &Shared,
     catalog: &catalog::Catalog,
     route: &Rc<dialect::Route>,
-) -> Result<dialect::Service, http::Response<Body>> {
+) -> Result<dialect::Service, Refusal> {
     let mut splits = shared.splits.borrow_mut();
     let backend = splits.pick(route);
     backend
         .and_then(|backend| catalog.service(&backend.service).cloned())
-        .ok_or_else(|| reply::refusal("the route has no service", PAUSE))
+        .ok_or(Refusal::NotNow("the route has no service"))
 }
 
 fn expected_work(shared: &Shared, route: &dialect::Route) -> f64 {
-    let known = shared.work.borrow().get(&route.name).copied();
+    let table = shared.work.borrow();
+    let known = table.get(&route.name).and_then(|work| work.mean());
     known.unwrap_or(route.objective.max(1) as f64 / 3.0)
 }
 
@@ -260,7 +276,7 @@
             Err(why) => return state.give_up(shared, why),
         };
         let life = attempt.life.clone();
-        match hedged(shared, ask, attempt, &state, sent).await {
+        match hedged(shared, ask, attempt, &mut state, sent).await {
             Verdict::Answer(response) => {
                 counters::count(&shared.counters.answered);
                 return response;
@@ -291,7 +307,7 @@
     shared: &Rc<Shared>,
     ask: &Ask,
     attempt: Attempt,
-    state: &Attempts,
+    state: &mut Attempts,
     sent: &Cell<bool>,
 ) -> Verdict {
     let life = attempt.life.clone();
@@ -306,15 +322,33 @@
     let Some(other) = hedge(shared, ask, state, life) else {
         return first.await;
     };
+    state.tried.push(other.life.clone());
+    state.ran += 1;
     let mut second = std::pin::pin!(other.send(shared, ask, sent));
     let (verdict, is_first) = tokio::select! {
         verdict = first.as_mut() => (verdict, true),
         verdict = second.as_mut() => (verdict, false),
     };
-    match verdict {
-        Verdict::Answer(_) => verdict,
+    let last = match &verdict {
+        Verdict::Answer(_) => return verdict,
         _ if is_first => second.await,
         _ => first.await,
+    };
+    worse(verdict, last)
+}
+
+/// Returns what two attempts came to: a request that may have run at one target
+/// may have run, whatever the other target said.
+fn worse(one: Verdict, other: Verdict) -> Verdict {
+    match (one, other) {
+        (Verdict::Answer(response), _) | (_, Verdict::Answer(response)) => {
+            Verdict::Answer(response)
+        }
+        (Verdict::Failed(response), _) | (_, Verdict::Failed(response)) => {
+            Verdict::Failed(response)
+        }
+        (Verdict::Refused, _) | (_, Verdict::Refused) => Verdict::Refused,
+        (Verdict::Unsent, Verdict::Unsent) => Verdict::Unsent,
     }
 }
 
--- a/src/gateway/exchange/attempt.rs
+++ b/src/gateway/exchange/attempt.rs
@@ -22,9 +22,6 @@
 /// Longest time for a connection between regions, in milliseconds.
 const CONNECT_FAR: u64 = 300;
 
-/// Weight of a new observation of a route's work.
-const WORK_WEIGHT: f64 = 0.05;
-
 /// Parts of a large body that wait for the caller.
 const PARTS: usize = 4;
 
@@ -107,7 +104,9 @@
             address: self.target.address,
             birth: self.target.birth,
         };
-        let answer = shared.client.send(peer, request, self.connect).await;
+        let keep = |headers: &http::HeaderMap| !is_other(shared, ask, headers);
+        let answer = shared.client.send(peer, request, self.connect, keep);
+        let answer = answer.await;
         let time = clock::now().since(begin) as f64;
         match answer {
             Err(failure) if failure.is_unsent() => {
@@ -145,54 +144,61 @@
 ) -> Verdict {
     let names = shared.dialect.names();
     let headers = response.headers();
-    if headers.get(&names.request) != ask.headers.get(&names.request)
-        && !shared.dialect.is_refusal(response.status(), headers)
-    {
+    let refused = shared.dialect.is_refusal(response.status(), headers);
+    let anonymous = refused && !headers.contains_key(&names.request);
+    if is_other(shared, ask, headers) && !anonymous {
         started.end(choice::End::Failed, None);
         return Verdict::Failed(reply::unknown(502, "the answer belongs to another request"));
     }
     let load = headers.get(&names.load);
     let load = load.and_then(|value| shared.dialect.load(value.to_str().ok()?));
-    if shared.dialect.is_refusal(response.status(), headers) {
+    if refused {
         started.end(choice::End::Refused, load);
         return Verdict::Refused;
     }
-    if response.status().is_server_error() {
+    if response.status().is_server_error() || promises(response.status()) {
         started.end(choice::End::Failed, load);
         return Verdict::Failed(pass_failure(response));
     }
     started.end(choice::End::Answered(time), load);
-    learn(shared, ask, started, time, load);
-    Verdict::Answer(pass(shared, response))
+    learn(shared, ask, time, load);
+    Verdict::Answer(pass(response))
+}
+
+/// Returns whether an answer names another request than the one that was sent.
+fn is_other(shared: &Shared, ask: &Ask, headers: &http::HeaderMap) -> bool {
+    let name = &shared.dialect.names().request;
+    headers.get(name) != ask.headers.get(name)
+}
+
+/// Returns whether a status promises callers that nothing has run.
+fn promises(status: http::StatusCode) -> bool {
+    matches!(
+        status,
+        http::StatusCode::REQUEST_TIMEOUT
+            | http::StatusCode::TOO_MANY_REQUESTS
+            | http::StatusCode::SERVICE_UNAVAILABLE
+    )
 }
 
 /// Learns how long a route's requests take, from answers that did not wait.
-fn learn(
-    shared: &Shared,
-    ask: &Ask,
-    started: &Started<'_>,
-    time: f64,
-    load: Option<dialect::Load>,
-) {
+fn learn(shared: &Shared, ask: &Ask, time: f64, load: Option<dialect::Load>) {
     if load.is_some_and(|load| load.waiting > 0) {
         return;
     }
     let slowness = load.map_or(1.0, |load| f64::from(load.slowness) / 100.0);
-    let speed = shared.choice.borrow().speed(&started.life);
-    let work = time / (slowness * speed).max(0.1);
     let mut table = shared.work.borrow_mut();
-    let known = table.entry(ask.route.name.clone()).or_insert(ask.work);
-    *known += WORK_WEIGHT * (work - *known);
+    let work = table.entry(ask.route.name.clone()).or_default();
+    work.learn(time / slowness.max(0.2));
 }
 
 /// Passes a target's answer on.
-fn pass(shared: &Shared, response: http::Response<client::Body>) -> http::Response<Body> {
+fn pass(response: http::Response<client::Body>) -> http::Response<Body> {
     let (parts, body) = response.into_parts();
     let body = match body {
         client::Body::Whole(bytes) => Body::Whole(Some(bytes)),
         client::Body::Partial(first, rest) => relay(first, rest),
     };
-    let _ = shared;
     let mut passed = http::Response::new(body);
     *passed.status_mut() = parts.status;
     *passed.headers_mut() = head::end_to_end(&parts.headers);
@@ -202,7 +208,7 @@
 /// Passes a target's failure on. A status that promises that nothing ran is
 /// replaced, since the target did not say so.
 fn pass_failure(response: http::Response<client::Body>) -> http::Response<Body> {
-    if response.status() == http::StatusCode::SERVICE_UNAVAILABLE {
+    if promises(response.status()) {
         return reply::unknown(502, "the target failed");
     }
     let (parts, body) = response.into_parts();
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -309,9 +309,8 @@
                 }
             }
             (dialect::Subject::TakenOut(domain), None) => {
-                if self.shared.taken_out.borrow_mut().remove(&domain).is_some() {
-                    log::info!("failure domain {domain} is back");
-                }
+                let known = self.shared.taken_out.borrow_mut().remove(&domain);
+                known.inspect(|_| log::info!("failure domain {domain} is back"));
             }
             _ => {}
         }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -41,7 +41,7 @@
 const REPEAT: u64 = 40;
 
 /// Busiest buckets of keys that one message names.
-const BUCKETS: usize = 96;
+const BUCKETS: usize = 192;
 
 /// What a host says of itself in the log.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -58,7 +58,7 @@
     /// Division of requests among the backends of routes.
     pub splits: RefCell<catalog::Splits>,
     /// Work of each route, in milliseconds.
-    pub work: RefCell<HashMap<Arc<str>, f64>>,
+    pub work: RefCell<HashMap<Arc<str>, choice::Work>>,
     /// Budgets of retries and of hedges of each service.
     pub retries: RefCell<HashMap<model::ServiceName, (quota::Retry, quota::Retry)>>,
     /// Requests to cold targets.
