Encode the key table by position, with names of targets once

Cause: the record named every field of every run and repeated the names of targets, and every daemon reads it whenever keys move. It now holds the names of targets, the owners by index of their name, and runs by index of their owners. An index out of range is a finding with its place.

Ruled out: leaving out the first key of each run, since a gap or an overlap could not be found then.

A table of the earlier form is not read; it counts as an unreadable record.

--- a/src/gateway/keys.rs
+++ b/src/gateway/keys.rs
@@ -1,6 +1,6 @@
 //! The table of key ranges and their owners.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
@@ -62,10 +62,11 @@
 }
 
 impl Table {
-    /// Returns the table as written to the log.
+    /// Returns the table as written to the log: compact, since every daemon reads
+    /// it whenever keys move.
     pub fn encode(&self) -> Vec<u8> {
         let wire = WireTable::from(self);
-        rmp_serde::to_vec_named(&wire).expect("a table has only types that can be encoded")
+        rmp_serde::to_vec(&wire).expect("a table has only types that can be encoded")
     }
 
     /// Reads a table and checks that its runs cover all keys once.
@@ -125,81 +126,78 @@
     });
 }
 
-#[derive(Serialize, Deserialize)]
+/// Owner as written: the index of its target's name, and its birth.
+#[derive(Clone, Copy, Serialize, Deserialize)]
 struct WireOwner {
-    target: model::TargetName,
+    target: u32,
     birth: u64,
 }
 
+/// Run as written; owners are indices.
 #[derive(Serialize, Deserialize)]
 struct WireRun {
     first: u16,
     last: u16,
-    owner: Option<WireOwner>,
+    owner: Option<u32>,
     fence: u64,
-    prior: Option<WireOwner>,
+    prior: Option<u32>,
 }
 
+/// Table as written, by position: each name and each owner once.
 #[derive(Serialize, Deserialize)]
 struct WireTable {
     host: model::HostName,
     incarnation: model::Incarnation,
+    targets: Vec<model::TargetName>,
+    owners: Vec<WireOwner>,
     services: BTreeMap<model::ServiceName, Vec<WireRun>>,
 }
 
-impl From<&Owner> for WireOwner {
-    fn from(owner: &Owner) -> Self {
-        Self {
-            target: owner.target.clone(),
-            birth: owner.birth,
-        }
-    }
+fn index_of<T: Ord>(list: &[T], item: &T) -> Option<u32> {
+    let index = list.binary_search(item).ok()?;
+    u32::try_from(index).ok()
 }
 
-impl From<WireOwner> for Owner {
-    fn from(wire: WireOwner) -> Self {
-        Self {
-            target: wire.target,
-            birth: wire.birth,
-        }
-    }
-}
-
-impl From<&Run> for WireRun {
-    fn from(run: &Run) -> Self {
+impl WireRun {
+    fn new(run: &Run, owners: &[&Owner]) -> Self {
+        let index = |owner: &Option<Owner>| index_of(owners, &owner.as_ref()?);
         Self {
             first: run.range.first,
             last: run.range.last,
-            owner: run.owner.as_ref().map(WireOwner::from),
+            owner: index(&run.owner),
             fence: run.fence,
-            prior: run.prior.as_ref().map(WireOwner::from),
-        }
-    }
-}
-
-impl From<WireRun> for Run {
-    fn from(wire: WireRun) -> Self {
-        Self {
-            range: dialect::Range {
-                first: wire.first,
-                last: wire.last,
-            },
-            owner: wire.owner.map(Owner::from),
-            fence: wire.fence,
-            prior: wire.prior.map(Owner::from),
+            prior: index(&run.prior),
         }
     }
 }
 
 impl From<&Table> for WireTable {
     fn from(table: &Table) -> Self {
-        let services = table.services.iter();
+        let runs = table.services.values().flatten();
+        let owners: BTreeSet<&Owner> = runs
+            .flat_map(|run| [&run.owner, &run.prior])
+            .flatten()
+            .collect();
+        let owners: Vec<&Owner> = owners.into_iter().collect();
+        let mut targets: Vec<&model::TargetName> =
+            owners.iter().map(|owner| &owner.target).collect();
+        targets.dedup();
+        let life = |owner: &&Owner| {
+            index_of(&targets, &&owner.target).map(|target| WireOwner {
+                target,
+                birth: owner.birth,
+            })
+        };
+        let services = table.services.iter().map(|(service, runs)| {
+            let runs = runs.iter().map(|run| WireRun::new(run, &owners));
+            (service.clone(), runs.collect())
+        });
         Self {
             host: table.host.clone(),
             incarnation: table.incarnation,
-            services: services
-                .map(|(service, runs)| (service.clone(), runs.iter().map(WireRun::from).collect()))
-                .collect(),
+            services: services.collect(),
+            owners: owners.iter().filter_map(life).collect(),
+            targets: targets.into_iter().cloned().collect(),
         }
     }
 }
@@ -209,10 +207,15 @@
 
     fn try_from(wire: WireTable) -> Result<Self, Self::Error> {
         let mut findings = finding::Findings::default();
+        let owners = owners(&wire, &mut findings);
         let mut services = BTreeMap::new();
         for (service, runs) in wire.services {
             check(&service, &runs, &mut findings);
-            services.insert(service, runs.into_iter().map(Run::from).collect());
+            let place = format!("table, /services/{service}");
+            let runs = runs.iter().enumerate();
+            let runs =
+                runs.map(|(i, run)| read(run, &owners, &format!("{place}/{i}"), &mut findings));
+            services.insert(service, runs.collect());
         }
         findings.into_result(Self {
             host: wire.host,
@@ -222,6 +225,54 @@
     }
 }
 
+/// Returns the owners by index; those whose name is missing are findings.
+fn owners(wire: &WireTable, findings: &mut finding::Findings) -> Vec<Option<Owner>> {
+    let owners = wire.owners.iter().enumerate().map(|(i, owner)| {
+        let place = format!("table, /owners/{i}/target");
+        let target = item(&wire.targets, owner.target, &place, findings)?;
+        Some(Owner {
+            target: target.clone(),
+            birth: owner.birth,
+        })
+    });
+    owners.collect()
+}
+
+fn read(
+    run: &WireRun,
+    owners: &[Option<Owner>],
+    place: &str,
+    findings: &mut finding::Findings,
+) -> Run {
+    let mut owner = |index: Option<u32>, field: &str| {
+        let place = format!("{place}/{field}");
+        item(owners, index?, &place, findings)?.clone()
+    };
+    Run {
+        range: dialect::Range {
+            first: run.first,
+            last: run.last,
+        },
+        owner: owner(run.owner, "owner"),
+        fence: run.fence,
+        prior: owner(run.prior, "prior"),
+    }
+}
+
+fn item<'a, T>(
+    list: &'a [T],
+    index: u32,
+    place: &str,
+    findings: &mut finding::Findings,
+) -> Option<&'a T> {
+    let item = list.get(index as usize);
+    if item.is_none() {
+        let expected = format!("an index below {}", list.len());
+        findings.add(place, expected, index.to_string());
+    }
+    item
+}
+
 fn check(service: &model::ServiceName, runs: &[WireRun], findings: &mut finding::Findings) {
     let mut next = 0_u32;
     for (i, run) in runs.iter().enumerate() {
