--- a/src/gateway/steward.rs
+++ b/src/gateway/steward.rs
@@ -8,6 +8,7 @@
 mod load;
 mod orders;
 mod plan;
+mod quiet;
 mod revise;
 mod topic;
 
@@ -229,61 +230,6 @@
     sent: Option<clock::Millis>,
 }
 
-/// Orders that a target did not answer.
-#[derive(Clone, Debug)]
-struct Quiet {
-    since: clock::Millis,
-    /// Time at which the first of them was given up.
-    given: clock::Millis,
-    last: clock::Millis,
-    /// An order sent after the first was given up was not answered either.
-    again: bool,
-    refusal: Refusal,
-}
-
-/// What refused connections say of a target.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Refusal {
-    /// None was refused.
-    None,
-    /// One was refused at this time.
-    Refused(clock::Millis),
-    /// A later list, known from this time on, shows the target as ready.
-    Listed(clock::Millis),
-    /// A connection after that list was refused too: the process has ended.
-    Ended,
-}
-
-impl Quiet {
-    fn is_silent(&self) -> bool {
-        self.again && self.last.since(self.since) >= SILENCE
-    }
-
-    /// Takes a refused connection for an order sent at `sent`.
-    fn refuse(&mut self, now: clock::Millis, sent: clock::Millis) {
-        self.refusal = match self.refusal {
-            Refusal::None => Refusal::Refused(now),
-            Refusal::Listed(known) if sent >= known => Refusal::Ended,
-            known => known,
-        };
-    }
-
-    /// Takes a list whose read started at `listed`. A target that leaves in
-    /// order is listed as leaving, or not at all, before it closes its listener.
-    fn list(&mut self, now: clock::Millis, listed: clock::Millis, ready: bool) {
-        self.refusal = match self.refusal {
-            Refusal::Refused(at) if listed > at && ready => Refusal::Listed(now),
-            Refusal::Listed(_) if !ready => Refusal::Refused(now),
-            known => known,
-        };
-    }
-
-    /// Returns whether the target gets no keys.
-    fn is_avoided(&self) -> bool {
-        self.refusal != Refusal::None || self.is_silent()
-    }
-}
-
 /// How an owner stands, which decides what happens to its keys.
 enum Standing {
     Ready,
@@ -321,7 +267,7 @@
     last: u64,
     /// Times until which a target may hold keys through this daemon's grants.
     holds: BTreeMap<(model::ServiceName, keys::Owner, dialect::Range), clock::Millis>,
-    quiet: BTreeMap<keys::Owner, Quiet>,
+    quiet: BTreeMap<keys::Owner, quiet::Quiet>,
     moved: Vec<(model::ServiceName, dialect::Range, clock::Millis)>,
     /// Earliest time of the next batch of moves.
     batch: clock::Millis,
--- a/src/gateway/steward/orders.rs
+++ b/src/gateway/steward/orders.rs
@@ -90,14 +90,17 @@
         now: clock::Millis,
         sent: clock::Millis,
         owner: &keys::Owner,
-    ) -> &mut super::Quiet {
-        let quiet = self.quiet.entry(owner.clone()).or_insert(super::Quiet {
-            since: sent,
-            given: now,
-            last: now,
-            again: false,
-            refusal: super::Refusal::None,
-        });
+    ) -> &mut super::quiet::Quiet {
+        let quiet = self
+            .quiet
+            .entry(owner.clone())
+            .or_insert(super::quiet::Quiet {
+                since: sent,
+                given: now,
+                last: now,
+                again: false,
+                refusal: super::quiet::Refusal::None,
+            });
         self.dirty = true;
         quiet.last = now;
         quiet.again |= sent >= quiet.given;
--- a/src/gateway/steward/revise.rs
+++ b/src/gateway/steward/revise.rs
@@ -212,10 +212,10 @@
             Some(member) if member.owner.birth > owner.birth => {
                 super::Standing::Reborn(member.owner.clone())
             }
-            _ if quiet.is_some_and(|quiet| quiet.refusal == super::Refusal::Ended) => {
+            _ if quiet.is_some_and(|quiet| quiet.refusal == super::quiet::Refusal::Ended) => {
                 super::Standing::Lost
             }
-            _ if quiet.is_some_and(super::Quiet::is_avoided) => super::Standing::Leaves,
+            _ if quiet.is_some_and(super::quiet::Quiet::is_avoided) => super::Standing::Leaves,
             Some(member) if member.owner.birth < owner.birth => super::Standing::Stays,
             None if now.since(self.term) < super::LAG => super::Standing::Stays,
             Some(member) if self.is_allowed(member) => match member.state {
@@ -251,7 +251,8 @@
             let members = self.members.values().filter(|member| {
                 let fits = member.service == *service && member.state == state;
                 let quiet = self.quiet.get(&member.owner);
-                fits && self.is_allowed(member) && !quiet.is_some_and(super::Quiet::is_avoided)
+                fits && self.is_allowed(member)
+                    && !quiet.is_some_and(super::quiet::Quiet::is_avoided)
             });
             let seats = members.map(|member| plan::Seat {
                 owner: member.owner.clone(),
