Drop an earlier refusal when the target answers an order

Cause: a target that rejected an order after a refused connection still counted as refused. A later list and one more refusal were then taken as proof that its process had ended, although it had answered in between.

Ruled out: orders without an answer. They say nothing of the listener and leave the refusal as it is.

Before: poll_refused_answered_refused_waits moves the keys at 8255 ms, before the end of the lease at 8364 ms. After: they move at the end of the lease.

--- a/src/gateway/steward/orders.rs
+++ b/src/gateway/steward/orders.rs
@@ -79,7 +79,11 @@
             (super::Reply::Refused, _) => {
                 self.unanswered(now, sent, &entry.owner).refuse(now, sent);
             }
-            (super::Reply::Rejected | super::Reply::Silent, _) => {
+            (super::Reply::Rejected, _) => {
+                // The target listens, so an earlier refusal proves nothing.
+                self.unanswered(now, sent, &entry.owner).refusal = super::quiet::Refusal::None;
+            }
+            (super::Reply::Silent, _) => {
                 self.unanswered(now, sent, &entry.owner);
             }
         }
--- a/tests/gateway_steward.rs
+++ b/tests/gateway_steward.rs
@@ -445,6 +445,26 @@
     assert_eq!(rig.keys_of("b"), 65_536);
 }
 
+/// Guards against a proof from refusals between which the target answered.
+#[test]
+fn poll_refused_answered_refused_waits() {
+    let mut rig = Rig::new(vec![ready("a"), ready("b")]);
+    let orders = rig.run(6_000, done);
+    let last = taken(&orders, "b", "a").1.unwrap();
+    rig.run(1_100, refuse("a"));
+    rig.run(1_100, |order| match is_for(order, "a") {
+        true => Some(steward::Reply::Rejected),
+        false => Some(steward::Reply::Done(None)),
+    });
+    let listed = Some(Millis(rig.now));
+    let members = vec![ready("a"), ready("b")];
+    rig.steward
+        .on_targets(Millis(rig.now), listed, members, services());
+    let orders = rig.run(3_000, refuse("a"));
+    let first = taken(&orders, "b", "a").0.expect("not given away");
+    assert!(first >= last + 3_062 + 300, "{first} after {last}");
+}
+
 /// Guards against a wait for the earlier birth of a target.
 #[test]
 fn on_targets_reborn_moves_at_once() {
