--- a/src/gateway/steward/orders.rs
+++ b/src/gateway/steward/orders.rs
@@ -79,7 +79,11 @@
             (super::Reply::Refused, _) => {
                 self.unanswered(now, sent, &entry.owner).refuse(now, sent);
             }
-            (super::Reply::Rejected | super::Reply::Silent, _) => {
+            (super::Reply::Rejected, _) => {
+                // The target listens, so an earlier refusal proves nothing.
+                self.unanswered(now, sent, &entry.owner).refusal = super::quiet::Refusal::None;
+            }
+            (super::Reply::Silent, _) => {
                 self.unanswered(now, sent, &entry.owner);
             }
         }
@@ -90,14 +94,17 @@
         now: clock::Millis,
         sent: clock::Millis,
         owner: &keys::Owner,
-    ) -> &mut super::Quiet {
-        let quiet = self.quiet.entry(owner.clone()).or_insert(super::Quiet {
-            since: sent,
-            given: now,
-            last: now,
-            again: false,
-            refusal: super::Refusal::None,
-        });
+    ) -> &mut super::quiet::Quiet {
+        let quiet = self
+            .quiet
+            .entry(owner.clone())
+            .or_insert(super::quiet::Quiet {
+                since: sent,
+                given: now,
+                last: now,
+                again: false,
+                refusal: super::quiet::Refusal::None,
+            });
         self.dirty = true;
         quiet.last = now;
         quiet.again |= sent >= quiet.given;
