--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -25,9 +25,9 @@
 /// Time for which a read waits for a record, in milliseconds.
 const WAIT: u64 = 10_000;
 
-/// The same for operators' records, which bounds how long a call that is never
-/// answered can hide a configuration.
-const OPERATOR_WAIT: u64 = 4_000;
+/// The same for operators' records. A read that waits may miss a record while the
+/// log drops old ones, so that this bounds how late a configuration may come.
+const OPERATOR_WAIT: u64 = 1_000;
 
 /// Time for an answer of the log beside the time that a read waits, in milliseconds.
 pub(crate) const ANSWER: u64 = 1_000;
--- a/src/gateway/steward.rs
+++ b/src/gateway/steward.rs
@@ -215,6 +215,8 @@
     next: clock::Millis,
     /// Time from which the previous owner holds nothing.
     settled: Option<clock::Millis>,
+    /// The previous owner has answered the release.
+    released: bool,
     handover: Option<Arc<str>>,
     /// The last grant had the longest lease.
     long: bool,
@@ -268,6 +270,8 @@
     /// Times until which a target may hold keys through this daemon's grants.
     holds: BTreeMap<(model::ServiceName, keys::Owner, dialect::Range), clock::Millis>,
     quiet: BTreeMap<keys::Owner, quiet::Quiet>,
+    /// Grants that were not answered.
+    late: Vec<Late>,
     moved: Vec<(model::ServiceName, dialect::Range, clock::Millis)>,
     /// Earliest time of the next batch of moves.
     batch: clock::Millis,
@@ -281,6 +285,15 @@
     outage: bool,
 }
 
+/// A grant without an answer, which the target may still apply.
+#[derive(Clone, Debug)]
+struct Late {
+    service: model::ServiceName,
+    owner: keys::Owner,
+    range: dialect::Range,
+    until: clock::Millis,
+}
+
 impl Steward {
     /// Returns the state of a daemon that has just started.
     pub fn new(host: model::HostName, incarnation: model::Incarnation, now: clock::Millis) -> Self {
@@ -306,6 +319,7 @@
             last: 0,
             holds: BTreeMap::new(),
             quiet: BTreeMap::new(),
+            late: Vec::new(),
             moved: Vec::new(),
             batch: now,
             due: now,
--- a/src/gateway/steward/orders.rs
+++ b/src/gateway/steward/orders.rs
@@ -52,11 +52,18 @@
         let Some(sent) = entry.sent else {
             return;
         };
+        if let (super::Reply::Silent, Some(lease)) = (&reply, entry.lease) {
+            let (service, range, _) = entry.id.clone();
+            self.late.push(super::Late {
+                service,
+                owner: entry.owner.clone(),
+                range,
+                until: sent + super::longest(lease),
+            });
+        }
         match (reply, order) {
             (super::Reply::Done(token), Some(order)) if entry.lease.is_none() => {
-                order.settled.get_or_insert(now);
-                self.tidy.get_or_insert(now + super::TIDY);
-                self.dirty = true;
+                order.released = true;
                 order.handover = token;
                 order.next = now;
                 self.quiet.remove(&entry.owner);
@@ -126,6 +133,33 @@
         own.max(self.foreign.unwrap_or_default())
     }
 
+    /// Returns until when a grant without an answer may still give `owner` keys
+    /// of `range`: a target may apply it after a release. An earlier steward may
+    /// have left such grants as well.
+    pub(super) fn late_until(
+        &self,
+        service: &model::ServiceName,
+        owner: &keys::Owner,
+        range: dialect::Range,
+    ) -> clock::Millis {
+        let overlaps = |held: dialect::Range| held.first <= range.last && range.first <= held.last;
+        let late = self.late.iter().filter(|late| {
+            late.service == *service && late.owner == *owner && overlaps(late.range)
+        });
+        let calls = self.calls.values().filter_map(|call| {
+            let (of, held, _) = &call.id;
+            let found = of == service && call.owner == *owner && overlaps(*held);
+            let lease = call.lease.filter(|_| found)?;
+            call.sent.map(|sent| sent + super::longest(lease))
+        });
+        let earlier = match self.foreign {
+            Some(foreign) if foreign > self.term => self.term + super::longest(super::HOLD),
+            _ => clock::Millis(0),
+        };
+        let last = late.map(|late| late.until).chain(calls).max();
+        last.unwrap_or_default().max(earlier)
+    }
+
     /// Returns whether the previous owner of a run holds nothing any more.
     pub(super) fn is_free(
         &self,
@@ -151,6 +185,7 @@
         };
         self.outage = outage;
         self.due = now + super::IDLE;
+        self.late.retain(|late| late.until > now);
         for (service, runs) in &table.services {
             for run in runs {
                 actions.extend(self.order_run(now, service, run, outage));
@@ -168,8 +203,12 @@
     ) -> Option<super::Action> {
         let id = (service.clone(), run.range, run.fence);
         let mut order = self.orders.get(&id)?.clone();
+        let late = match &run.prior {
+            Some(prior) => self.late_until(service, prior, run.range),
+            None => clock::Millis(0),
+        };
         if let (Some(prior), None) = (&run.prior, order.settled)
-            && self.is_free(now, service, prior, run.range)
+            && ((order.released && now >= late) || self.is_free(now, service, prior, run.range))
         {
             order.settled = Some(now);
             self.tidy.get_or_insert(now + super::TIDY);
@@ -178,6 +217,11 @@
             order.next = now;
         }
         let asks = run.prior.is_some() && order.settled.is_none();
+        if asks && order.released {
+            self.due = self.due.min(late);
+            self.orders.insert(id, order);
+            return None;
+        }
         let lengthen = outage && !order.long && !asks;
         if !outage {
             order.long = false;
--- a/tests/gateway_steward.rs
+++ b/tests/gateway_steward.rs
@@ -347,6 +347,36 @@
     assert!(rig.runs().iter().all(|run| run.prior.is_none()));
 }
 
+/// Guards against two owners when a grant without an answer is applied after the
+/// release (seen on the platform: showroom mix, seed 590119298031).
+#[test]
+fn poll_move_after_unanswered_grant() {
+    let mut rig = Rig::new(vec![ready("a"), ready("b")]);
+    rig.run(6_000, done);
+    let unanswered = rig.run(1_200, |order| match order {
+        steward::Action::Grant { .. } if is_for(order, "a") => Some(steward::Reply::Silent),
+        _ => Some(steward::Reply::Done(None)),
+    });
+    let last = unanswered.iter().filter(|(_, order)| is_for(order, "a"));
+    let sent = last.map(|(at, _)| *at).max().unwrap();
+    let leaving = member("a", 1.0, steward::MemberState::Leaving);
+    let members = vec![leaving, ready("b")];
+    rig.steward
+        .on_targets(Millis(rig.now), None, members, services());
+    let fence = rig.end + 1;
+    let orders = rig.run(6_000, done);
+    let moved = orders
+        .iter()
+        .find(|(_, order)| grant_of(order).is_some_and(|grant| grant.fence >= fence));
+    let (granted, _) = moved.unwrap();
+    let end = sent + (steward::HOLD * 100).div_ceil(98);
+    assert!(
+        *granted >= end,
+        "granted at {granted}, the lease may last until {end}"
+    );
+    assert_eq!(rig.keys_of("b"), 65_536);
+}
+
 fn is_release(order: &steward::Action) -> bool {
     matches!(order, steward::Action::Release { .. })
 }
