--- a/src/gateway/client.rs
+++ b/src/gateway/client.rs
@@ -305,6 +305,9 @@
         .with_time(Duration::from_secs(1))
         .with_interval(Duration::from_secs(1))
         .with_retries(2);
+    // A call that was given up must not arrive later: without this option the
+    // system goes on sending what is under way after the close.
+    let _ = socket.set_linger(Some(Duration::ZERO));
     // Without these options the connection works, and only ends later.
     let _ = socket.set_nodelay(true);
     let _ = socket.set_tcp_keepalive(&keepalive);
