--- a/src/gateway/office.rs
+++ b/src/gateway/office.rs
@@ -249,7 +249,9 @@
 fn demand(shared: &Shared) -> BTreeMap<model::ServiceName, Vec<(u16, f32)>> {
     let demand = shared.demand.borrow();
     let list = demand.iter().map(|(service, buckets)| {
-        let figures = buckets.iter().map(|(&bucket, &work)| (bucket, work / 2.0));
+        let figures = buckets
+            .iter()
+            .map(|(&bucket, &work)| (bucket, work * peers::FADING));
         (service.clone(), figures.collect())
     });
     list.collect()
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -40,6 +40,9 @@
 /// Looks after which requests in progress are told again though they are the same.
 const REPEAT: u64 = 40;
 
+/// Part of the counted work that is forgotten each second.
+pub(crate) const FADING: f32 = 0.35;
+
 /// Busiest buckets of keys that one message names.
 const BUCKETS: usize = 192;
 
@@ -365,14 +368,17 @@
     let mut demand = shared.demand.borrow_mut();
     let mut load = BTreeMap::new();
     for (service, buckets) in demand.iter_mut() {
-        let mut figures: Figures = buckets.iter().map(|(&b, &work)| (b, work / 2.0)).collect();
+        let mut figures: Figures = buckets
+            .iter()
+            .map(|(&b, &work)| (b, work * FADING))
+            .collect();
         figures.sort_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cmp(&b.0)));
         figures.truncate(BUCKETS);
         load.insert(service.clone(), figures);
-        // What was counted loses half of its weight each second, so that the sum
-        // is twice the rate.
+        // What was counted fades, so that the sum is the rate divided by the part
+        // that fades each second.
         buckets.retain(|_, work| {
-            *work *= 0.5;
+            *work *= 1.0 - FADING;
             *work > 1.0
         });
     }
--- a/src/gateway/steward/balance.rs
+++ b/src/gateway/steward/balance.rs
@@ -11,6 +11,11 @@
 const START: f64 = 1.2;
 /// Load relative to the fair share down to which a change goes on.
 const STOP: f64 = 1.1;
+/// Part of a target's capacity below which its load is left alone: requests
+/// hardly wait there, and moves have a price.
+const BUSY: f64 = 0.4;
+/// Work that one unit of weight does in a second, in milliseconds.
+const CAPACITY: f64 = 1_000.0;
 /// Least part of a fair share by which a move must lower the highest load.
 const GAIN: f64 = 0.08;
 /// Part by which a range may exceed the wanted amount of work.
@@ -46,7 +51,8 @@
     let mut scale = plan::Scale::new(pieces, seats, work);
     let busiest = (0..seats.len()).map(|seat| scale.ratio(seat));
     let level = if settled { START } else { STOP };
-    if !work.is_measured() || busiest.fold(0.0, f64::max) <= level {
+    let busy = (0..seats.len()).any(|seat| is_busy(seats, &scale, seat));
+    if !work.is_measured() || !busy || busiest.fold(0.0, f64::max) <= level {
         return Vec::new();
     }
     let mut pieces = pieces.to_vec();
@@ -70,6 +76,10 @@
     moves
 }
 
+fn is_busy(seats: &[plan::Seat], scale: &plan::Scale, seat: usize) -> bool {
+    scale.load[seat] > BUSY * CAPACITY * seats[seat].weight
+}
+
 fn seat_of(piece: &plan::Piece, seats: &[plan::Seat]) -> Option<usize> {
     let own = |seat: &plan::Seat| Some(&seat.owner) == piece.owner.as_ref();
     seats.iter().position(own)
@@ -83,7 +93,7 @@
     work: &plan::Work,
 ) -> Option<Candidate> {
     let mut donors: Vec<usize> = (0..seats.len()).collect();
-    donors.retain(|&seat| scale.ratio(seat) > STOP);
+    donors.retain(|&seat| scale.ratio(seat) > STOP && is_busy(seats, scale, seat));
     donors.sort_by(|&a, &b| scale.ratio(b).total_cmp(&scale.ratio(a)));
     let mut receivers: Vec<usize> = (0..seats.len()).collect();
     receivers.sort_by(|&a, &b| scale.surplus(a).total_cmp(&scale.surplus(b)));
