Call a log that is out less often, and fix faults found by reading

- During an outage only the reader of the targets asks on; the others wait for its return, at most 2 s.
Refused appends are repeated after 500 ms.
- The steward reads the list of targets itself, so that the time of the list by which it judges a refused connection is that of its own read.
- A keyed request that its owner refused is sent again after a pause of 150 ms.
- With more daemons than requests that a cold target bears, the first ones send.
- The time limits cover the body, and a shutdown waits for connections, so that large answers are written whole.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -142,9 +142,10 @@
     log::info!("stopping");
     shared.stopping.set(true);
     tokio::time::sleep(Duration::from_millis(BALANCER.min(end))).await;
-    // Nobody listens only if no connection is left.
+    // Without listener and connections nobody receives this.
     let _ = close.send(true);
-    while shared.running.get() > 0 && clock::now().since(start) < end {
+    // A connection ends when its answer has been written.
+    while shared.connections.get() > 0 && clock::now().since(start) < end {
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     // Lets the last answers leave.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -30,6 +30,9 @@
 /// Time for an answer to reach the caller within its deadline, in milliseconds.
 const RETURN: u64 = 20;
 
+/// Pause before a key's owner that refused a request is asked again, in milliseconds.
+const OWNER_PAUSE: u64 = 150;
+
 /// Pause after which a refused caller may come back, in milliseconds.
 const PAUSE: u64 = 250;
 
@@ -156,9 +159,14 @@
         .resolve(host, parts.uri.path())
         .ok_or(Refusal::Fault(404, "no route"))?;
     let route = Rc::clone(route);
-    let body = read_body(shared, guard, &catalog, body).await?;
-    let service = pick_service(shared, &catalog, &route)?;
     let names = shared.dialect.names();
+    let asked = head::number(&parts.headers, &names.deadline).unwrap_or(DEADLINE);
+    let asked = asked.saturating_sub(RETURN.min(asked / 8));
+    let limit = asked.min(route.timeout.unwrap_or(DEADLINE));
+    let body = read_body(shared, guard, &catalog, body);
+    let body = tokio::time::timeout(Duration::from_millis(limit), body).await;
+    let body = body.unwrap_or(Err(Refusal::NotNow("the body did not arrive in time")))?;
+    let service = pick_service(shared, &catalog, &route)?;
     let key = match service.keyed {
         true => Some(
             head::number(&parts.headers, &names.key)
@@ -169,9 +177,6 @@
         ),
         false => None,
     };
-    let asked = head::number(&parts.headers, &names.deadline).unwrap_or(DEADLINE);
-    let asked = asked.saturating_sub(RETURN.min(asked / 8));
-    let limit = asked.min(route.timeout.unwrap_or(DEADLINE));
     let work = expected_work(shared, &route);
     Ok(Ask {
         headers: head::forwarded(&parts.headers, host, names),
@@ -512,12 +517,20 @@
     } else {
         return false;
     };
-    let share = quota::share(
+    let near = |domain: &model::DomainName| ask.service.keyed || *domain == target.domain;
+    let settings = &shared.settings;
+    let rank = peers.rank(&settings.host, &settings.domain, now, near);
+    // With more senders than requests, only the first ones send.
+    let all = quota::share(
         ask.service.cold_rate,
         bounds.cold_factor,
         bounds.cold_extra,
-        senders,
+        1,
     );
+    let share = match all / senders.max(1) {
+        0 => u32::from(rank < all),
+        share => share,
+    };
     let mut cold = shared.cold.borrow_mut();
     let limit = cold.entry(life.clone()).or_default();
     match take {
@@ -533,7 +546,15 @@
     key: u16,
     state: &Attempts,
 ) -> Result<Attempt, &'static str> {
-    let patience = ask.start + ask.route.objective / 3;
+    let patience = ask.start + ask.route.objective / 2;
+    if state.arrived > 0 {
+        // The owner does not hold the key yet, or is full.
+        let pause = tokio::time::sleep(Duration::from_millis(OWNER_PAUSE));
+        tokio::select! {
+            _ = pause => {}
+            _ = shared.moved.notified() => {}
+        }
+    }
     loop {
         let moved = shared.moved.notified();
         match find_owner(shared, ask, key, state) {
@@ -563,7 +584,7 @@
         .as_ref()
         .and_then(|(_, table)| table.run_of(&ask.service.name, key))
         .ok_or("the key has no owner yet")?;
-    let owner = serving(run).ok_or("the key has no owner yet")?;
+    let owner = run.owner.as_ref().ok_or("the key has no owner yet")?;
     let registry = shared.registry.borrow();
     let target = registry
         .get(&owner.target)
@@ -595,12 +616,6 @@
     Ok(Attempt::new(shared, target))
 }
 
-/// Returns the target that serves a run now: while keys move, the former owner
-/// has stopped and the new one has not begun, so there is none.
-fn serving(run: &keys::Run) -> Option<&keys::Owner> {
-    run.owner.as_ref()
-}
-
 /// Returns whether a keyed target may get requests although it leaves: until
 /// shortly before the bound of a drain or of a domain taken out.
 fn may_still_serve(
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -30,13 +30,17 @@
 const OPERATOR_WAIT: u64 = 1_000;
 
 /// Time for an answer of the log beside the time that a read waits, in milliseconds.
-pub(crate) const ANSWER: u64 = 1_000;
+const ANSWER: u64 = 1_000;
 
 /// Time for a connection to the log.
 const CONNECT: Duration = Duration::from_millis(500);
 
-/// Pause after a call that failed, in milliseconds.
-const PAUSE: u64 = 300;
+/// Pause after a read of the targets that failed, in milliseconds.
+const PAUSE: u64 = 500;
+
+/// Longest pause after a read of another topic that failed, in milliseconds; it
+/// ends when the targets can be read again. Refused calls have a price as well.
+const LONG_PAUSE: u64 = 2_000;
 
 /// Pause between reads of the hosts' topic, in milliseconds: hosts start together.
 const HOSTS_PAUSE: u64 = 1_000;
@@ -200,7 +204,11 @@
             }
         };
         if pause > 0 {
-            tokio::time::sleep(Duration::from_millis(pause)).await;
+            let pause = tokio::time::sleep(Duration::from_millis(pause));
+            tokio::select! {
+                _ = pause => {}
+                _ = shared.returned.notified(), if plan.topic != Topic::Targets => {}
+            }
         }
     }
 }
@@ -258,7 +266,10 @@
 fn fail(plan: &Plan, error: &Failure, reader: &mut impl Reader) -> u64 {
     log::debug!("reading {:?}: {error}", plan.topic);
     reader.failed();
-    PAUSE
+    match plan.topic {
+        Topic::Targets => PAUSE,
+        _ => LONG_PAUSE,
+    }
 }
 
 /// Starts all readers.
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -57,7 +57,24 @@
     }
 }
 
+/// Counts a connection until it has ended.
+struct Open(Rc<Shared>);
+
+impl Open {
+    fn new(shared: &Rc<Shared>) -> Self {
+        shared.connections.set(shared.connections.get() + 1);
+        Self(Rc::clone(shared))
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.connections.set(self.0.connections.get() - 1);
+    }
+}
+
 async fn serve(shared: Rc<Shared>, stream: TcpStream, mut closing: watch::Receiver<bool>) {
+    let _open = Open::new(&shared);
     let limits = match &*shared.catalog.borrow() {
         Some(catalog) => catalog.limits(),
         None => Default::default(),
--- a/src/gateway/lending.rs
+++ b/src/gateway/lending.rs
@@ -18,6 +18,7 @@
 use crate::clock;
 use crate::gateway::dialect::{self, Topic};
 use crate::gateway::feed;
+use crate::gateway::keys;
 use crate::gateway::peers;
 use crate::gateway::shared::Shared;
 use crate::model;
@@ -130,7 +131,15 @@
             .as_ref()
             .map(|(heard, _)| *heard);
         let recent = heard.is_some_and(|heard| now.since(heard) < self.silence());
-        recent && !self.is_reader(now)
+        // The steward judges targets by the time of its own reads.
+        recent && !self.is_reader(now) && !self.is_steward()
+    }
+
+    /// Returns whether the newest table known names this daemon as steward.
+    fn is_steward(&self) -> bool {
+        let table = self.table.borrow();
+        let own = |table: &keys::Table| table.incarnation == self.incarnation;
+        table.as_ref().is_some_and(|(_, table)| own(table))
     }
 
     /// Returns whether this daemon reads the log for its failure domain.
--- a/src/gateway/office.rs
+++ b/src/gateway/office.rs
@@ -102,11 +102,6 @@
             }
             peers::Message::Loan(loan) => return shared.lending.borrow_mut().on_loan(loan),
             peers::Message::Pulse(pulse) => {
-                // The reader's call began at most the time for an answer ago.
-                let began = now - feed::ANSWER;
-                shared
-                    .listed_at
-                    .set(shared.listed_at.get().max(Some(began)));
                 return shared.lending.borrow_mut().on_pulse(pulse, now);
             }
         };
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -77,6 +77,8 @@
     pub peers: RefCell<peers::Directory>,
     /// Whether the daemon is shutting down.
     pub stopping: Cell<bool>,
+    /// Connections of callers.
+    pub connections: Cell<usize>,
     /// Requests in progress.
     pub running: Cell<usize>,
     /// Bytes of bodies that are held.
@@ -119,6 +121,7 @@
             stir: Notify::new(),
             demand: RefCell::default(),
             stopping: Cell::default(),
+            connections: Cell::default(),
             running: Cell::default(),
             held: Cell::default(),
             counters: counters::Counters::default(),
--- a/src/gateway/steward.rs
+++ b/src/gateway/steward.rs
@@ -60,6 +60,9 @@
 /// Delay before an unanswered order, or a read or append that failed, is
 /// repeated, in milliseconds.
 const RETRY: u64 = 250;
+/// Delay before a read or append that the log refused or did not answer is
+/// repeated, in milliseconds; refused calls have a price as well.
+const LOG_RETRY: u64 = 500;
 /// Time between batches of moves, in milliseconds.
 const BATCH: u64 = 1_000;
 /// Time for which keys stay where they were moved, in milliseconds.
@@ -400,7 +403,7 @@
     pub fn on_unread(&mut self, now: clock::Millis) {
         self.log.reading = false;
         self.log.readable = None;
-        self.log.retry = now + RETRY;
+        self.log.retry = now + LOG_RETRY;
     }
 
     /// Takes the answer to an append, `None` if there was none.
@@ -413,7 +416,7 @@
                 let end = offset.next();
                 self.adopt(now, pending.started, offset, end, Some(pending.table));
             }
-            Some(dialect::Appended::Refused(_)) => self.log.retry = now + RETRY,
+            Some(dialect::Appended::Refused(_)) => self.log.retry = now + LOG_RETRY,
             Some(dialect::Appended::Moved(_)) => {
                 self.log.outdated = true;
                 self.log.unclear = Some(now);
