--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -22,6 +22,11 @@
 /// so that waiting for one would not save a call.
 const PACE: u64 = 40;
 
+/// Time for which the log must have answered before its list shows which targets
+/// are about to leave, in milliseconds: one that left while the log was out is
+/// listed as ready for a while after its return.
+const SETTLED: u64 = 4_000;
+
 /// Time for which a read waits for a record, in milliseconds.
 const WAIT: u64 = 10_000;
 
@@ -315,9 +320,11 @@
             (dialect::Subject::Configuration, Some(value)) => self.configure(record.offset, value),
             (dialect::Subject::TakenOut(domain), Some(_)) => {
                 let mut taken_out = self.shared.taken_out.borrow_mut();
-                if taken_out.insert(domain.clone(), clock::now()).is_none() {
+                // A record that is read again must not prolong the time to leave.
+                taken_out.entry(domain).or_insert_with_key(|domain| {
                     log::info!("failure domain {domain} is taken out");
-                }
+                    clock::now()
+                });
             }
             (dialect::Subject::TakenOut(domain), None) => {
                 let known = self.shared.taken_out.borrow_mut().remove(&domain);
@@ -407,7 +414,10 @@
             self.shared.returned.notify_waiters();
         }
         if let Source::Own(started) = source {
-            self.shared.listed_at.set(Some(started));
+            let settled = self.shared.answering.get();
+            if settled.is_some_and(|since| started.since(since) >= SETTLED) {
+                self.shared.listed_at.set(Some(started));
+            }
             self.shared
                 .answering
                 .set(self.shared.answering.get().or(Some(now)));
