--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -12,6 +12,7 @@
 pub mod dialect;
 pub mod exchange;
 pub mod keys;
+pub mod lending;
 pub mod peers;
 pub mod quota;
 pub mod registry;
@@ -22,7 +23,6 @@
 mod desk;
 mod feed;
 mod front;
-mod lending;
 mod office;
 
 use std::io;
--- a/src/gateway/lending.rs
+++ b/src/gateway/lending.rs
@@ -34,7 +34,7 @@
 
 /// Records that the reader passes on.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) struct Loan {
+pub struct Loan {
     topic: u8,
     from: model::Offset,
     next: model::Offset,
@@ -42,18 +42,83 @@
     records: Vec<(model::Offset, Arc<str>, Option<serde_bytes::ByteBuf>)>,
 }
 
+/// What a loan is to a daemon that has read up to some offset.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// It follows what is known, and may repeat some of it.
+    Next,
+    /// Records before it were missed.
+    Gap,
+    /// All of it is known.
+    Known,
+}
+
+impl Loan {
+    /// Returns the records of `topic` from offset `from` up to, but without,
+    /// `next`; the log ended at `end`.
+    pub fn new(
+        topic: Topic,
+        from: model::Offset,
+        next: model::Offset,
+        end: model::Offset,
+        records: Vec<dialect::Record>,
+    ) -> Self {
+        let records = records.into_iter().map(|record| {
+            let value = record
+                .value
+                .map(|value| serde_bytes::ByteBuf::from(value.to_vec()));
+            (record.offset, record.key, value)
+        });
+        Self {
+            topic: index(topic) as u8,
+            from,
+            next,
+            end,
+            records: records.collect(),
+        }
+    }
+
+    /// Returns what the loan is to a daemon that goes on at offset `from`.
+    pub fn step(&self, from: model::Offset) -> Step {
+        if self.from > from {
+            Step::Gap
+        } else if self.next <= from {
+            Step::Known
+        } else {
+            Step::Next
+        }
+    }
+
+    /// Returns the records as if this daemon had read them.
+    pub fn into_batch(self) -> dialect::Batch {
+        let records = self
+            .records
+            .into_iter()
+            .map(|(offset, key, value)| dialect::Record {
+                offset,
+                key,
+                value: value.map(|value| Bytes::from(value.into_vec())),
+            });
+        dialect::Batch {
+            records: records.collect(),
+            next: self.next,
+            end: self.end,
+        }
+    }
+}
+
 /// What the reader says with each read.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) struct Pulse {
-    /// Offsets up to which it has read, by topic.
-    next: [Option<model::Offset>; 4],
+pub struct Pulse {
+    /// Offsets up to which it has read: targets, operators' records, key table, hosts.
+    pub next: [Option<model::Offset>; 4],
     /// Time for which the log has answered all its calls, in milliseconds.
-    answering: u64,
+    pub answering: u64,
 }
 
 /// What a daemon knows of the reader and of its own reads.
 #[derive(Debug, Default)]
-pub(crate) struct Lending {
+pub struct Lending {
     inboxes: HashMap<Topic, mpsc::UnboundedSender<Option<Loan>>>,
     next: [Option<model::Offset>; 4],
     heard: Option<(clock::Millis, Pulse)>,
@@ -96,19 +161,26 @@
     }
 
     /// Takes a sign of the reader.
-    pub(crate) fn on_pulse(&mut self, pulse: Pulse, now: clock::Millis) {
+    pub fn on_pulse(&mut self, pulse: Pulse, now: clock::Millis) {
         self.heard = Some((now, pulse));
         for inbox in self.inboxes.values() {
             let _ = inbox.send(None);
         }
     }
 
-    fn known(&self, topic: Topic) -> Option<model::Offset> {
+    /// Returns the offset up to which the reader has read a topic.
+    pub fn known(&self, topic: Topic) -> Option<model::Offset> {
         self.heard.as_ref()?.1.next[index(topic)]
     }
 
+    /// Returns whether the reader was heard less than `silence` milliseconds ago.
+    pub fn is_heard(&self, now: clock::Millis, silence: u64) -> bool {
+        let heard = self.heard.as_ref().map(|(heard, _)| *heard);
+        heard.is_some_and(|heard| now.since(heard) < silence)
+    }
+
     /// Returns since when the log has answered the reader.
-    fn answering(&self) -> Option<clock::Millis> {
+    pub fn answering(&self) -> Option<clock::Millis> {
         self.heard
             .as_ref()
             .map(|(heard, pulse)| *heard - pulse.answering)
@@ -123,14 +195,8 @@
     /// Returns whether another daemon reads the log for this one.
     pub(crate) fn is_lent(&self) -> bool {
         let now = clock::now();
-        let heard = self
-            .lending
-            .borrow()
-            .heard
-            .as_ref()
-            .map(|(heard, _)| *heard);
-        let recent = heard.is_some_and(|heard| now.since(heard) < self.silence());
-        recent && !self.is_reader(now)
+        let heard = self.lending.borrow().is_heard(now, self.silence());
+        heard && !self.is_reader(now)
     }
 
     /// Returns whether this daemon reads the log for its failure domain.
@@ -173,10 +239,10 @@
         return Received::Nothing;
     };
     if let Some(loan) = message {
-        return match loan {
-            loan if loan.from > from => Received::Behind,
-            loan if loan.next <= from => Received::Nothing,
-            loan => Received::Batch(batch(loan)),
+        return match loan.step(from) {
+            Step::Gap => Received::Behind,
+            Step::Known => Received::Nothing,
+            Step::Next => Received::Batch(loan.into_batch()),
         };
     }
     let known = shared.lending.borrow().known(plan.topic);
@@ -185,9 +251,7 @@
     }
     // The pulse may have overtaken the records.
     match tokio::time::timeout(UNDER_WAY, inbox.recv()).await {
-        Ok(Some(Some(loan))) if loan.from <= from && loan.next > from => {
-            Received::Batch(batch(loan))
-        }
+        Ok(Some(Some(loan))) if loan.step(from) == Step::Next => Received::Batch(loan.into_batch()),
         _ => Received::Behind,
     }
 }
@@ -211,22 +275,6 @@
     std::future::pending().await
 }
 
-fn batch(loan: Loan) -> dialect::Batch {
-    let records = loan
-        .records
-        .into_iter()
-        .map(|(offset, key, value)| dialect::Record {
-            offset,
-            key,
-            value: value.map(|value| Bytes::from(value.into_vec())),
-        });
-    dialect::Batch {
-        records: records.collect(),
-        next: loan.next,
-        end: loan.end,
-    }
-}
-
 /// Passes records on if this daemon is the reader.
 pub(crate) fn pass_on(
     shared: &Rc<Shared>,
@@ -239,19 +287,7 @@
     if next == from || shared.stopping.get() || !shared.is_reader(clock::now()) {
         return;
     }
-    let records = records.into_iter().map(|record| {
-        let value = record
-            .value
-            .map(|value| serde_bytes::ByteBuf::from(value.to_vec()));
-        (record.offset, record.key, value)
-    });
-    let loan = Loan {
-        topic: index(topic) as u8,
-        from,
-        next,
-        end,
-        records: records.collect(),
-    };
+    let loan = Loan::new(topic, from, next, end, records);
     let message = peers::encode(&peers::Message::Loan(loan));
     match message.len() <= DATAGRAM {
         true => peers::tell_domain(shared, &message),
