Fix the faults that the tests of connections, choice, settings and lending show

- A peer's idle time is bounded before it is multiplied (keep_alive_beyond_range).
- A target that this daemon has not used counts what others said of it (counts_target_unused).
- An older sign of the reader lowers no offset (pulse_overtaken).

--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -4,6 +4,7 @@
 //! speed, the load it reported last, this daemon's requests there, and its
 //! distance; the lowest estimate wins. Everything here is pure.
 
+use std::borrow::Cow;
 use std::collections::HashMap;
 use std::hash::Hasher;
 
@@ -219,11 +220,10 @@
         now: clock::Millis,
         mut random: impl FnMut() -> f64,
     ) -> Pick {
-        let unknown = Stats::default();
         let mut best: Option<(f64, usize)> = None;
         let mut full = false;
         for (index, candidate) in candidates.iter().enumerate() {
-            let stats = self.stats.get(&candidate.life).unwrap_or(&unknown);
+            let stats = self.stats_of(&candidate.life);
             if stats.until > now {
                 continue;
             }
@@ -244,6 +244,18 @@
         }
     }
 
+    /// Returns what is known of a target; of one without own requests, what other
+    /// daemons said.
+    fn stats_of(&self, life: &Life) -> Cow<'_, Stats> {
+        match self.stats.get(life) {
+            Some(stats) => Cow::Borrowed(stats),
+            None => Cow::Owned(Stats {
+                peers: self.sums.get(&life.digest()).copied().unwrap_or(0),
+                ..Stats::default()
+            }),
+        }
+    }
+
     fn least_paused(&self, candidates: &[Candidate]) -> usize {
         let until = |index: &usize| {
             let stats = self.stats.get(&candidates[*index].life);
@@ -254,17 +266,13 @@
 
     /// Returns the estimated time to an answer in milliseconds.
     pub fn estimate(&self, candidate: &Candidate, work: f64, now: clock::Millis) -> f64 {
-        match self.stats.get(&candidate.life) {
-            Some(stats) => stats.estimate(candidate, work, now),
-            None => Stats::default().estimate(candidate, work, now),
-        }
+        self.stats_of(&candidate.life)
+            .estimate(candidate, work, now)
     }
 
     /// Returns the requests that a target is thought to have, running and waiting.
     pub fn requests(&self, life: &Life, now: clock::Millis) -> f64 {
-        self.stats
-            .get(life)
-            .map_or(0.0, |stats| stats.requests(now))
+        self.stats_of(life).requests(now)
     }
 
     /// Returns whether a target has as many requests as it can take.
--- a/src/gateway/client.rs
+++ b/src/gateway/client.rs
@@ -23,6 +23,9 @@
 /// Time for which an idle connection is kept if the peer names none, in milliseconds.
 const IDLE: u64 = 8_000;
 
+/// Longest idle time of a peer that counts, in seconds.
+const LONGEST_IDLE: u64 = 3_600;
+
 /// Time before the end of a peer's idle time at which a connection is no longer
 /// used, in milliseconds: a request must not cross the peer's close.
 const IDLE_MARGIN: u64 = 2_000;
@@ -269,7 +272,10 @@
         })
         .and_then(|seconds| seconds.parse::<u64>().ok());
     match named {
-        Some(seconds) => (seconds * 1_000).saturating_sub(IDLE_MARGIN),
+        Some(seconds) => seconds
+            .min(LONGEST_IDLE)
+            .saturating_mul(1_000)
+            .saturating_sub(IDLE_MARGIN),
         None => IDLE,
     }
 }
--- a/src/gateway/lending.rs
+++ b/src/gateway/lending.rs
@@ -18,7 +18,6 @@
 use crate::clock;
 use crate::gateway::dialect::{self, Topic};
 use crate::gateway::feed;
-use crate::gateway::keys;
 use crate::gateway::peers;
 use crate::gateway::shared::Shared;
 use crate::model;
@@ -162,7 +161,14 @@
     }
 
     /// Takes a sign of the reader.
-    pub fn on_pulse(&mut self, pulse: Pulse, now: clock::Millis) {
+    ///
+    /// Signs may arrive out of order, or from a second reader that lags.
+    pub fn on_pulse(&mut self, mut pulse: Pulse, now: clock::Millis) {
+        if let Some((_, known)) = &self.heard {
+            for (next, known) in pulse.next.iter_mut().zip(known.next) {
+                *next = (*next).max(known);
+            }
+        }
         self.heard = Some((now, pulse));
         for inbox in self.inboxes.values() {
             let _ = inbox.send(None);
@@ -197,21 +203,24 @@
     pub(crate) fn is_lent(&self) -> bool {
         let now = clock::now();
         let heard = self.lending.borrow().is_heard(now, self.silence());
-        // The steward judges targets by the time of its own reads.
-        heard && !self.is_reader(now) && !self.is_steward()
-    }
-
-    /// Returns whether the newest table known names this daemon as steward.
-    fn is_steward(&self) -> bool {
-        let table = self.table.borrow();
-        let own = |table: &keys::Table| table.incarnation == self.incarnation;
-        table.as_ref().is_some_and(|(_, table)| own(table))
+        heard && !self.is_reader(now)
     }
 
-    /// Returns whether this daemon reads the log for its failure domain.
+    /// Returns whether this daemon reads the log for its failure domain: the
+    /// steward in its own domain, since it judges targets by the time of its own
+    /// reads, and the first live daemon elsewhere.
     fn is_reader(&self, now: clock::Millis) -> bool {
         let settings = &self.settings;
         let peers = self.peers.borrow();
+        let table = self.table.borrow();
+        if let Some((_, table)) = table.as_ref() {
+            if table.incarnation == self.incarnation {
+                return true;
+            }
+            if peers.is_near(&table.host, &settings.domain, now) {
+                return false;
+            }
+        }
         let local = |domain: &model::DomainName| *domain == settings.domain;
         peers.rank(&settings.host, &settings.domain, now, local) == 0
     }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -205,6 +205,17 @@
             .filter(move |peer| peer.heard.is_some_and(|heard| now.since(heard) < RANKED))
     }
 
+    /// Returns whether a host of `domain` was heard of late.
+    pub fn is_near(
+        &self,
+        host: &model::HostName,
+        domain: &model::DomainName,
+        now: clock::Millis,
+    ) -> bool {
+        let mut peers = self.ranked(now);
+        peers.any(|peer| peer.notice.host == *host && peer.notice.domain == *domain)
+    }
+
     /// Returns how many live daemons come before `own` in the order of take-over.
     /// Daemons for which `near` holds come first.
     pub fn rank(
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Deserializer, Serialize, de};
 
 use crate::finding;
+use crate::logging;
 use crate::model;
 
 /// All settings of a gateway daemon. Unknown fields are refused.
@@ -167,13 +168,19 @@
     }
 }
 
+/// Longest time that a setting may have, in milliseconds: a day.
+const LONGEST: f64 = 86_400_000.0;
+
 fn parse_time(text: &str) -> Option<Time> {
     let (number, scale) = match text.strip_suffix("ms") {
         Some(number) => (number, 1.0),
         None => (text.strip_suffix('s')?, 1_000.0),
     };
     let value: f64 = number.parse().ok()?;
-    (value.is_finite() && value >= 0.0).then(|| Time((value * scale).round() as u64))
+    let millis = (value * scale).round();
+    (0.0..=LONGEST)
+        .contains(&millis)
+        .then_some(Time(millis as u64))
 }
 
 impl Settings {
@@ -216,6 +223,9 @@
             return Err(findings);
         }
     };
+    if let Err(error) = reader.end() {
+        findings.add(format!("{place} at ?"), "valid settings", error.to_string());
+    }
     check(place, &settings, &mut findings);
     findings.into_result(settings)
 }
@@ -235,6 +245,13 @@
             format!("{:?}", settings.ready_path),
         );
     }
+    if !logging::LEVELS.contains(&settings.logs.level.as_str()) {
+        findings.add(
+            format!("{place} at logs.level"),
+            format!("one of {:?}", logging::LEVELS),
+            format!("{:?}", settings.logs.level),
+        );
+    }
     let shares = [
         ("retry_share", settings.bounds.retry_share),
         ("retry_extra", settings.bounds.retry_extra),
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -5,6 +5,9 @@
 
 use log::kv;
 
+/// Levels that the log accepts.
+pub const LEVELS: [&str; 6] = ["off", "error", "warn", "info", "debug", "trace"];
+
 /// Error of a second call to [`start`] in one process.
 #[derive(Debug, thiserror::Error)]
 #[error("logging was started before: {0}")]
--- a/src/settings/load.rs
+++ b/src/settings/load.rs
@@ -4,11 +4,9 @@
 use std::path::Path;
 
 use crate::finding;
+use crate::logging;
 use crate::settings::Settings;
 
-/// Levels that the log accepts.
-const LEVELS: [&str; 6] = ["off", "error", "warn", "info", "debug", "trace"];
-
 /// Reads the settings file at `path` and checks it.
 ///
 /// # Errors
@@ -82,11 +80,11 @@
         1,
         findings,
     );
-    if !LEVELS.contains(&settings.logs.level.as_str()) {
+    if !logging::LEVELS.contains(&settings.logs.level.as_str()) {
         let found = format!("{:?}", settings.logs.level);
         findings.add(
             format!("{place} /logs/level"),
-            format!("one of {LEVELS:?}"),
+            format!("one of {:?}", logging::LEVELS),
             found,
         );
     }
