--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -12,18 +12,18 @@
 pub mod dialect;
 pub mod exchange;
 pub mod keys;
-pub mod lending;
 pub mod peers;
 pub mod quota;
 pub mod registry;
+pub mod relay;
 pub mod settings;
 pub mod shared;
 pub mod steward;
 
-mod desk;
+mod admin;
+mod executor;
 mod feed;
-mod front;
-mod office;
+mod listener;
 
 use std::io;
 use std::path::Path;
@@ -86,17 +86,17 @@
     let mut stop = signal(SignalKind::terminate()).map_err(at("signals"))?;
     let mut reload = signal(SignalKind::hangup()).map_err(at("signals"))?;
     let listen = settings.listen.clone();
-    let admin = front::listen(listen.admin).map_err(at("admin address"))?;
-    let caller = front::listen(listen.caller).map_err(at("caller address"))?;
+    let admin = listener::listen(listen.admin).map_err(at("admin address"))?;
+    let caller = listener::listen(listen.caller).map_err(at("caller address"))?;
     let peer = UdpSocket::bind(listen.peer)
         .await
         .map_err(at("peer address"))?;
     let shared = Rc::new(Shared::new(settings, dialect, peer));
     let (close, closing) = watch::channel(false);
-    tokio::task::spawn_local(desk::accept(Rc::clone(&shared), admin));
-    tokio::task::spawn_local(front::accept(Rc::clone(&shared), caller, closing));
+    tokio::task::spawn_local(admin::accept(Rc::clone(&shared), admin));
+    tokio::task::spawn_local(listener::accept(Rc::clone(&shared), caller, closing));
     feed::start(&shared);
-    office::start(&shared);
+    executor::start(&shared);
     tokio::task::spawn_local(sweep(Rc::clone(&shared)));
     loop {
         tokio::select! {
@@ -123,7 +123,7 @@
         let now = clock::now();
         shared.client.sweep(now);
         shared.choice.borrow_mut().expire(now);
-        let lives = office::lives(&shared);
+        let lives = executor::lives(&shared);
         shared
             .choice
             .borrow_mut()
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -31,7 +31,7 @@
 const LONGEST_PAUSE: u64 = 2_400;
 
 /// Time for which a daemon's message on its requests counts, in milliseconds.
-const SAID: u64 = 2_000;
+const REPORT_LIFE: u64 = 2_000;
 
 /// Requests per slot above which a target is full.
 const FULL: f64 = 2.5;
@@ -111,7 +111,7 @@
 
 /// What another daemon said of its requests in progress.
 #[derive(Clone, Debug)]
-struct Said {
+struct Report {
     heard: clock::Millis,
     counts: Counts,
 }
@@ -201,7 +201,7 @@
 #[derive(Debug, Default)]
 pub struct Table {
     stats: HashMap<Life, Stats>,
-    said: HashMap<u64, Said>,
+    said: HashMap<u64, Report>,
     sums: HashMap<u32, u32>,
 }
 
@@ -321,7 +321,7 @@
 
     /// Takes what the daemon `peer` says of its requests in progress.
     pub fn on_counts(&mut self, peer: u64, counts: Counts, now: clock::Millis) {
-        let said = Said { heard: now, counts };
+        let said = Report { heard: now, counts };
         if let Some(old) = self.said.insert(peer, said) {
             self.subtract(&old.counts);
         }
@@ -351,7 +351,7 @@
         let silent: Vec<u64> = self
             .said
             .iter()
-            .filter(|(_, said)| now.since(said.heard) > SAID)
+            .filter(|(_, said)| now.since(said.heard) > REPORT_LIFE)
             .map(|(peer, _)| *peer)
             .collect();
         for peer in silent {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -40,7 +40,7 @@
 const BODY_SHARE: usize = 4;
 
 /// A request whose route is known.
-pub(crate) struct Ask {
+pub(crate) struct Resolved {
     pub(crate) route: Rc<dialect::Route>,
     pub(crate) service: dialect::Service,
     pub(crate) key: Option<u16>,
@@ -54,7 +54,7 @@
     pub(crate) work: f64,
 }
 
-impl Ask {
+impl Resolved {
     /// Writes a line on the request's end.
     fn trace(&self, shared: &Shared, status: http::StatusCode) {
         let id = self.headers.get(&shared.dialect.names().request);
@@ -149,7 +149,7 @@
     guard: &Guard<'_>,
     request: http::Request<Incoming>,
     start: clock::Millis,
-) -> Result<Ask, Refusal> {
+) -> Result<Resolved, Refusal> {
     let Some(catalog) = shared.catalog.borrow().clone() else {
         return Err(Refusal::NotNow("no configuration yet"));
     };
@@ -178,7 +178,7 @@
         false => None,
     };
     let work = expected_work(shared, &route);
-    Ok(Ask {
+    Ok(Resolved {
         headers: head::forwarded(&parts.headers, host, names),
         method: parts.method,
         target: head::origin_form(&parts.uri),
@@ -238,7 +238,7 @@
 }
 
 /// Sends the request until there is an answer or a reason to stop.
-async fn run(shared: &Rc<Shared>, ask: &Ask) -> http::Response<Body> {
+async fn run(shared: &Rc<Shared>, ask: &Resolved) -> http::Response<Body> {
     on_request(shared, &ask.service.name);
     count_demand(shared, ask);
     let end = Duration::from_millis(ask.end.since(clock::now()));
@@ -254,7 +254,7 @@
 }
 
 /// Counts the work of a keyed request, for the steward.
-fn count_demand(shared: &Shared, ask: &Ask) {
+fn count_demand(shared: &Shared, ask: &Resolved) {
     let Some(key) = ask.key else {
         return;
     };
@@ -269,7 +269,7 @@
 }
 
 /// Sends the request to one target after the other, as far as that is allowed.
-async fn attempts(shared: &Rc<Shared>, ask: &Ask, sent: &Cell<bool>) -> http::Response<Body> {
+async fn attempts(shared: &Rc<Shared>, ask: &Resolved, sent: &Cell<bool>) -> http::Response<Body> {
     let mut state = Attempts::default();
     loop {
         let chosen = match ask.key {
@@ -310,7 +310,7 @@
 /// and the request may run twice. The first answer counts.
 async fn hedged(
     shared: &Rc<Shared>,
-    ask: &Ask,
+    ask: &Resolved,
     attempt: Attempt,
     state: &mut Attempts,
     sent: &Cell<bool>,
@@ -339,12 +339,12 @@
         _ if is_first => second.await,
         _ => first.await,
     };
-    worse(verdict, last)
+    combine(verdict, last)
 }
 
 /// Returns what two attempts came to: a request that may have run at one target
 /// may have run, whatever the other target said.
-fn worse(one: Verdict, other: Verdict) -> Verdict {
+fn combine(one: Verdict, other: Verdict) -> Verdict {
     match (one, other) {
         (Verdict::Answer(response), _) | (_, Verdict::Answer(response)) => {
             Verdict::Answer(response)
@@ -359,7 +359,7 @@
 
 /// Returns another target for a request that takes long, if one has a free slot
 /// and the budget allows it.
-fn hedge(shared: &Shared, ask: &Ask, state: &Attempts, life: choice::Life) -> Option<Attempt> {
+fn hedge(shared: &Shared, ask: &Resolved, state: &Attempts, life: choice::Life) -> Option<Attempt> {
     let mut tried = state.tried.clone();
     tried.push(life);
     let excluded = Attempts {
@@ -388,7 +388,7 @@
 const UNSENT: u32 = 4;
 
 impl Attempts {
-    fn may_go_on(&self, shared: &Shared, ask: &Ask) -> bool {
+    fn may_go_on(&self, shared: &Shared, ask: &Resolved) -> bool {
         if self.unsent >= UNSENT || self.ran >= ask.route.attempts {
             return false;
         }
@@ -457,7 +457,7 @@
 }
 
 /// Picks a target for a request without a key.
-fn pick(shared: &Shared, ask: &Ask, state: &Attempts) -> Result<Attempt, &'static str> {
+fn pick(shared: &Shared, ask: &Resolved, state: &Attempts) -> Result<Attempt, &'static str> {
     let now = clock::now();
     let registry = shared.registry.borrow();
     let targets = registry.of(&ask.service.name);
@@ -504,7 +504,7 @@
     shared: &Shared,
     target: &crate::gateway::registry::Target,
     life: &choice::Life,
-    ask: &Ask,
+    ask: &Resolved,
     take: bool,
 ) -> bool {
     let now = clock::now();
@@ -542,7 +542,7 @@
 /// Returns the owner of the request's key, waiting a while for one.
 async fn owner(
     shared: &Rc<Shared>,
-    ask: &Ask,
+    ask: &Resolved,
     key: u16,
     state: &Attempts,
 ) -> Result<Attempt, &'static str> {
@@ -574,7 +574,7 @@
 
 fn find_owner(
     shared: &Shared,
-    ask: &Ask,
+    ask: &Resolved,
     key: u16,
     state: &Attempts,
 ) -> Result<Attempt, &'static str> {
--- a/src/gateway/exchange/attempt.rs
+++ b/src/gateway/exchange/attempt.rs
@@ -12,7 +12,7 @@
 use crate::gateway::counters;
 use crate::gateway::dialect;
 use crate::gateway::exchange::reply::{self, Body};
-use crate::gateway::exchange::{Ask, head};
+use crate::gateway::exchange::{Resolved, head};
 use crate::gateway::registry;
 use crate::gateway::shared::Shared;
 
@@ -87,7 +87,7 @@
     }
 
     /// Sends the request and judges the answer. `sent` is set before anything is sent.
-    pub(crate) async fn send(self, shared: &Shared, ask: &Ask, sent: &Cell<bool>) -> Verdict {
+    pub(crate) async fn send(self, shared: &Shared, ask: &Resolved, sent: &Cell<bool>) -> Verdict {
         let Some(request) = self.request(shared, ask) else {
             return Verdict::Failed(reply::fault(400, "the request can't be passed on"));
         };
@@ -121,7 +121,7 @@
         }
     }
 
-    fn request(&self, shared: &Shared, ask: &Ask) -> Option<http::Request<Bytes>> {
+    fn request(&self, shared: &Shared, ask: &Resolved) -> Option<http::Request<Bytes>> {
         let names = shared.dialect.names();
         let mut request = http::Request::new(ask.body.clone());
         *request.method_mut() = ask.method.clone();
@@ -137,7 +137,7 @@
 
 fn judge(
     shared: &Shared,
-    ask: &Ask,
+    ask: &Resolved,
     response: http::Response<client::Body>,
     started: &Started<'_>,
     time: f64,
@@ -166,7 +166,7 @@
 }
 
 /// Returns whether an answer names another request than the one that was sent.
-fn is_other(shared: &Shared, ask: &Ask, headers: &http::HeaderMap) -> bool {
+fn is_other(shared: &Shared, ask: &Resolved, headers: &http::HeaderMap) -> bool {
     let name = &shared.dialect.names().request;
     headers.get(name) != ask.headers.get(name)
 }
@@ -182,7 +182,7 @@
 }
 
 /// Learns how long a route's requests take, from answers that did not wait.
-fn learn(shared: &Shared, ask: &Ask, time: f64, load: Option<dialect::Load>) {
+fn learn(shared: &Shared, ask: &Resolved, time: f64, load: Option<dialect::Load>) {
     if load.is_some_and(|load| load.waiting > 0) {
         return;
     }
--- a/src/gateway/office.rs
+++ b/src/gateway/executor.rs
@@ -100,9 +100,11 @@
             peers::Message::Counts(peer, counts) => {
                 return shared.choice.borrow_mut().on_counts(peer, counts, now);
             }
-            peers::Message::Loan(loan) => return shared.lending.borrow_mut().on_loan(loan),
-            peers::Message::Pulse(pulse) => {
-                return shared.lending.borrow_mut().on_pulse(pulse, now);
+            peers::Message::Relayed(relayed) => {
+                return shared.relay.borrow_mut().on_relayed(relayed);
+            }
+            peers::Message::Progress(progress) => {
+                return shared.relay.borrow_mut().on_progress(progress, now);
             }
         };
         shared.peers.borrow_mut().on_heartbeat(&heartbeat.host, now);
@@ -167,10 +169,10 @@
             (feed::Source::Own(started), read) => {
                 take_read(&self.shared, &self.machine, started, read);
             }
-            (feed::Source::Lent, TableRead::Record(offset, _, Some(table))) => {
+            (feed::Source::Relayed, TableRead::Record(offset, _, Some(table))) => {
                 show(&self.shared, offset, table);
             }
-            (feed::Source::Lent, _) => {}
+            (feed::Source::Relayed, _) => {}
         }
     }
 }
@@ -200,7 +202,7 @@
         }
     }
     publish(shared, machine);
-    shared.stir.notify_one();
+    shared.wake_steward.notify_one();
 }
 
 /// Makes the state machine's table known to requests.
@@ -237,7 +239,8 @@
             }
         }
         let wake = machine.borrow().next_wake(now).since(now).clamp(5, 1_000);
-        let _ = tokio::time::timeout(Duration::from_millis(wake), shared.stir.notified()).await;
+        let _ =
+            tokio::time::timeout(Duration::from_millis(wake), shared.wake_steward.notified()).await;
     }
 }
 
@@ -338,7 +341,7 @@
         }
     }
     publish(&shared, &machine);
-    shared.stir.notify_one();
+    shared.wake_steward.notify_one();
 }
 
 fn known_end(machine: &Steward) -> Option<model::Offset> {
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -12,8 +12,8 @@
 use crate::gateway::counters;
 use crate::gateway::dialect::{self, Topic};
 use crate::gateway::keys;
-use crate::gateway::lending;
 use crate::gateway::peers;
+use crate::gateway::relay;
 use crate::gateway::shared::Shared;
 use crate::model;
 
@@ -150,7 +150,7 @@
     /// By a call of its own that began at this time.
     Own(clock::Millis),
     /// From another daemon, which read them.
-    Lent,
+    Relayed,
 }
 
 /// Takes what a topic says.
@@ -176,23 +176,23 @@
 /// Follows a topic for the life of the process: by calls of its own, or by what
 /// the reader of the failure domain passes on.
 pub(crate) async fn follow(shared: Rc<Shared>, plan: Plan, mut reader: impl Reader) {
-    let mut inbox = shared.lending.borrow_mut().open(plan.topic);
+    let mut inbox = shared.relay.borrow_mut().open(plan.topic);
     let mut from: Option<model::Offset> = None;
     loop {
         let pause = match from {
             None => read_all(&shared, &plan, &mut from, &mut reader).await,
-            Some(offset) if shared.is_lent() => {
-                match lending::receive(&shared, &plan, &mut inbox, offset).await {
-                    lending::Received::Batch(batch) => {
+            Some(offset) if shared.is_relayed() => {
+                match relay::receive(&shared, &plan, &mut inbox, offset).await {
+                    relay::Received::Batch(batch) => {
                         from = Some(batch.next);
-                        reader.apply(batch, Source::Lent);
+                        reader.apply(batch, Source::Relayed);
                         0
                     }
-                    lending::Received::Behind => {
+                    relay::Received::Behind => {
                         read_on(&shared, &plan, 0, &mut from, &mut reader).await;
                         0
                     }
-                    lending::Received::Nothing => 0,
+                    relay::Received::Nothing => 0,
                 }
             }
             Some(offset) => {
@@ -200,7 +200,7 @@
                 let read = tokio::select! {
                     pause = read => Some(pause),
                     // A call that waits may miss a record that another daemon has read.
-                    _ = lending::newer(&shared, &plan, &mut inbox, offset) => None,
+                    _ = relay::newer(&shared, &plan, &mut inbox, offset) => None,
                 };
                 match read {
                     Some(pause) => pause,
@@ -230,7 +230,7 @@
         Ok((records, end)) => {
             reader.replace(records, end, source);
             *from = Some(end);
-            shared.lending.borrow_mut().on_read(plan.topic, end);
+            shared.relay.borrow_mut().on_read(plan.topic, end);
             plan.pace
         }
         Err(error) => fail(plan, &error, reader),
@@ -254,8 +254,8 @@
             let (next, end) = (batch.next, batch.end);
             let records = reader.apply(batch, source);
             *from = Some(next);
-            shared.lending.borrow_mut().on_read(plan.topic, next);
-            lending::pass_on(shared, plan.topic, offset, next, end, records);
+            shared.relay.borrow_mut().on_read(plan.topic, next);
+            relay::pass_on(shared, plan.topic, offset, next, end, records);
             plan.pace
         }
         Err(Failure::Answer(dialect::ReadError::Trimmed(first))) => {
@@ -355,7 +355,7 @@
         let catalog = Rc::new(catalog::Catalog::new(revision));
         self.shared.splits.borrow_mut().retain(&catalog);
         *self.shared.catalog.borrow_mut() = Some(catalog);
-        self.shared.stir.notify_one();
+        self.shared.wake_steward.notify_one();
     }
 }
 
@@ -373,7 +373,7 @@
         for record in &records {
             self.take(record);
         }
-        self.shared.stir.notify_one();
+        self.shared.wake_steward.notify_one();
     }
 
     fn apply(&mut self, batch: dialect::Batch, _source: Source) -> Vec<dialect::Record> {
@@ -381,7 +381,7 @@
             self.take(record);
         }
         if !batch.records.is_empty() {
-            self.shared.stir.notify_one();
+            self.shared.wake_steward.notify_one();
         }
         batch.records
     }
@@ -428,7 +428,7 @@
         let mut registry = self.shared.registry.borrow_mut();
         registry.sweep(clock::now());
         if registry.generation() != before {
-            self.shared.stir.notify_one();
+            self.shared.wake_steward.notify_one();
         }
         drop(registry);
         self.shared.listed.set(true);
@@ -469,7 +469,7 @@
             record.value.is_none() || self.shared.registry.borrow().generation() != known
         });
         self.on_change(before);
-        lending::pulse(&self.shared, source);
+        relay::progress(&self.shared, source);
         last
     }
 
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -11,7 +11,7 @@
 use crate::clock;
 use crate::finding;
 use crate::gateway::choice::{self, Counts};
-use crate::gateway::lending;
+use crate::gateway::relay;
 use crate::gateway::shared::Shared;
 use crate::model;
 
@@ -35,7 +35,7 @@
 
 /// Looks after which daemons of the failure domain, of the region, and of other
 /// regions are told.
-const CIRCLES: [u64; 3] = [1, 5, 24];
+const TIERS: [u64; 3] = [1, 5, 24];
 
 /// Looks after which requests in progress are told again though they are the same.
 const REPEAT: u64 = 40;
@@ -126,10 +126,10 @@
     Counts(u64, choice::Counts),
     /// Records of the log, read for the failure domain.
     #[serde(rename = "l")]
-    Loan(lending::Loan),
+    Relayed(relay::Relayed),
     /// The reader of the failure domain reads.
     #[serde(rename = "p")]
-    Pulse(lending::Pulse),
+    Progress(relay::Progress),
 }
 
 #[derive(Clone, Debug)]
@@ -291,7 +291,7 @@
 
 /// Sends a message to the live daemons of this host's failure domain.
 pub(crate) fn tell_domain(shared: &Shared, message: &[u8]) {
-    for address in circle_of(shared, 0) {
+    for address in tier_of(shared, 0) {
         // Whoever misses a message notices by a later one.
         let _ = shared.socket.try_send_to(message, address);
     }
@@ -308,26 +308,26 @@
         tokio::time::sleep(Duration::from_millis(COUNTS)).await;
         round += 1;
         let counts = shared.choice.borrow().counts();
-        for (circle, every) in CIRCLES.into_iter().enumerate() {
-            let stale = round - last[circle] >= REPEAT && !counts.is_empty();
-            if !round.is_multiple_of(every) || (counts == sent[circle] && !stale) {
+        for (tier, every) in TIERS.into_iter().enumerate() {
+            let stale = round - last[tier] >= REPEAT && !counts.is_empty();
+            if !round.is_multiple_of(every) || (counts == sent[tier] && !stale) {
                 continue;
             }
             let message = encode(&Message::Counts(shared.incarnation.0, counts.clone()));
-            let addresses = circle_of(&shared, circle);
+            let addresses = tier_of(&shared, tier);
             for address in addresses {
                 // A lost message is followed by the next one.
                 let _ = socket.send_to(&message, address).await;
             }
-            sent[circle].clone_from(&counts);
-            last[circle] = round;
+            sent[tier].clone_from(&counts);
+            last[tier] = round;
         }
     }
 }
 
 /// Returns the addresses of daemons in the same failure domain, in others of
 /// the region, or in other regions.
-fn circle_of(shared: &Shared, circle: usize) -> Vec<SocketAddr> {
+fn tier_of(shared: &Shared, tier: usize) -> Vec<SocketAddr> {
     let settings = &shared.settings;
     let peers = shared.peers.borrow();
     let list = peers.ranked(clock::now()).filter(|peer| {
@@ -337,7 +337,7 @@
             region if region == shared.region.as_ref() => 1,
             _ => 2,
         };
-        found == circle
+        found == tier
     });
     list.map(|peer| peer.notice.address).collect()
 }
--- a/src/gateway/lending.rs
+++ b/src/gateway/relay.rs
@@ -34,7 +34,7 @@
 
 /// Records that the reader passes on.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Loan {
+pub struct Relayed {
     topic: u8,
     from: model::Offset,
     next: model::Offset,
@@ -42,7 +42,7 @@
     records: Vec<(model::Offset, Arc<str>, Option<serde_bytes::ByteBuf>)>,
 }
 
-/// What a loan is to a daemon that has read up to some offset.
+/// What a relayed batch is to a daemon that has read up to some offset.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Step {
     /// It follows what is known, and may repeat some of it.
@@ -53,7 +53,7 @@
     Known,
 }
 
-impl Loan {
+impl Relayed {
     /// Returns the records of `topic` from offset `from` up to, but without,
     /// `next`; the log ended at `end`.
     pub fn new(
@@ -78,7 +78,7 @@
         }
     }
 
-    /// Returns what the loan is to a daemon that goes on at offset `from`.
+    /// Returns what the batch is to a daemon that goes on at offset `from`.
     pub fn step(&self, from: model::Offset) -> Step {
         if self.from > from {
             Step::Gap
@@ -109,7 +109,7 @@
 
 /// What the reader says with each read.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Pulse {
+pub struct Progress {
     /// Offsets up to which it has read: targets, operators' records, key table, hosts.
     pub next: [Option<model::Offset>; 4],
     /// Time for which the log has answered all its calls, in milliseconds.
@@ -118,10 +118,10 @@
 
 /// What a daemon knows of the reader and of its own reads.
 #[derive(Debug, Default)]
-pub struct Lending {
-    inboxes: HashMap<Topic, mpsc::UnboundedSender<Option<Loan>>>,
+pub struct Relay {
+    inboxes: HashMap<Topic, mpsc::UnboundedSender<Option<Relayed>>>,
     next: [Option<model::Offset>; 4],
-    heard: Option<(clock::Millis, Pulse)>,
+    heard: Option<(clock::Millis, Progress)>,
 }
 
 fn index(topic: Topic) -> usize {
@@ -135,10 +135,10 @@
 
 const TOPICS: [Topic; 4] = [Topic::Targets, Topic::Operator, Topic::Table, Topic::Hosts];
 
-/// Receives loans of a topic; `None` says that the reader has read on.
-pub(crate) type Inbox = mpsc::UnboundedReceiver<Option<Loan>>;
+/// Receives relayed batches of a topic; `None` says that the reader has read on.
+pub(crate) type Inbox = mpsc::UnboundedReceiver<Option<Relayed>>;
 
-impl Lending {
+impl Relay {
     /// Opens the inbox of a topic.
     pub(crate) fn open(&mut self, topic: Topic) -> Inbox {
         let (sender, inbox) = mpsc::unbounded_channel();
@@ -152,24 +152,24 @@
     }
 
     /// Takes records that the reader passed on.
-    pub(crate) fn on_loan(&mut self, loan: Loan) {
-        let topic = TOPICS.get(usize::from(loan.topic));
+    pub(crate) fn on_relayed(&mut self, relayed: Relayed) {
+        let topic = TOPICS.get(usize::from(relayed.topic));
         if let Some(inbox) = topic.and_then(|topic| self.inboxes.get(topic)) {
             // A closed inbox means that the process ends.
-            let _ = inbox.send(Some(loan));
+            let _ = inbox.send(Some(relayed));
         }
     }
 
     /// Takes a sign of the reader.
     ///
     /// Signs may arrive out of order, or from a second reader that lags.
-    pub fn on_pulse(&mut self, mut pulse: Pulse, now: clock::Millis) {
+    pub fn on_progress(&mut self, mut progress: Progress, now: clock::Millis) {
         if let Some((_, known)) = &self.heard {
-            for (next, known) in pulse.next.iter_mut().zip(known.next) {
+            for (next, known) in progress.next.iter_mut().zip(known.next) {
                 *next = (*next).max(known);
             }
         }
-        self.heard = Some((now, pulse));
+        self.heard = Some((now, progress));
         for inbox in self.inboxes.values() {
             let _ = inbox.send(None);
         }
@@ -190,7 +190,7 @@
     pub fn answering(&self) -> Option<clock::Millis> {
         self.heard
             .as_ref()
-            .map(|(heard, pulse)| *heard - pulse.answering)
+            .map(|(heard, progress)| *heard - progress.answering)
     }
 }
 
@@ -200,9 +200,9 @@
     }
 
     /// Returns whether another daemon reads the log for this one.
-    pub(crate) fn is_lent(&self) -> bool {
+    pub(crate) fn is_relayed(&self) -> bool {
         let now = clock::now();
-        let heard = self.lending.borrow().is_heard(now, self.silence());
+        let heard = self.relay.borrow().is_heard(now, self.silence());
         heard && !self.is_reader(now)
     }
 
@@ -227,8 +227,8 @@
 
     /// Returns for how long the log has answered, in milliseconds.
     pub(crate) fn answering_for(&self, now: clock::Millis) -> u64 {
-        let since = match self.is_lent() {
-            true => self.lending.borrow().answering(),
+        let since = match self.is_relayed() {
+            true => self.relay.borrow().answering(),
             false => self.answering.get(),
         };
         since.map_or(0, |since| now.since(since))
@@ -256,20 +256,22 @@
     let Ok(Some(message)) = tokio::time::timeout(limit, inbox.recv()).await else {
         return Received::Nothing;
     };
-    if let Some(loan) = message {
-        return match loan.step(from) {
+    if let Some(relayed) = message {
+        return match relayed.step(from) {
             Step::Gap => Received::Behind,
             Step::Known => Received::Nothing,
-            Step::Next => Received::Batch(loan.into_batch()),
+            Step::Next => Received::Batch(relayed.into_batch()),
         };
     }
-    let known = shared.lending.borrow().known(plan.topic);
+    let known = shared.relay.borrow().known(plan.topic);
     if known.is_none_or(|known| known <= from) {
         return Received::Nothing;
     }
-    // The pulse may have overtaken the records.
+    // The progress may have overtaken the records.
     match tokio::time::timeout(UNDER_WAY, inbox.recv()).await {
-        Ok(Some(Some(loan))) if loan.step(from) == Step::Next => Received::Batch(loan.into_batch()),
+        Ok(Some(Some(relayed))) if relayed.step(from) == Step::Next => {
+            Received::Batch(relayed.into_batch())
+        }
         _ => Received::Behind,
     }
 }
@@ -283,8 +285,8 @@
 ) {
     while let Some(message) = inbox.recv().await {
         let next = match message {
-            Some(loan) => Some(loan.next),
-            None => shared.lending.borrow().known(plan.topic),
+            Some(relayed) => Some(relayed.next),
+            None => shared.relay.borrow().known(plan.topic),
         };
         if next > Some(from) {
             return;
@@ -305,27 +307,27 @@
     if next == from || shared.stopping.get() || !shared.is_reader(clock::now()) {
         return;
     }
-    let loan = Loan::new(topic, from, next, end, records);
-    let message = peers::encode(&peers::Message::Loan(loan));
+    let relayed = Relayed::new(topic, from, next, end, records);
+    let message = peers::encode(&peers::Message::Relayed(relayed));
     match message.len() <= DATAGRAM {
         true => peers::tell_domain(shared, &message),
         // Too long for a datagram: the others read it themselves.
-        false => send_pulse(shared),
+        false => send_progress(shared),
     }
 }
 
 /// Tells the failure domain that this daemon reads, after a read of its own.
-pub(crate) fn pulse(shared: &Rc<Shared>, source: feed::Source) {
+pub(crate) fn progress(shared: &Rc<Shared>, source: feed::Source) {
     let own = matches!(source, feed::Source::Own(_));
     if own && !shared.stopping.get() && shared.is_reader(clock::now()) {
-        send_pulse(shared);
+        send_progress(shared);
     }
 }
 
-fn send_pulse(shared: &Rc<Shared>) {
-    let pulse = Pulse {
-        next: shared.lending.borrow().next,
+fn send_progress(shared: &Rc<Shared>) {
+    let progress = Progress {
+        next: shared.relay.borrow().next,
         answering: shared.answering_for(clock::now()),
     };
-    peers::tell_domain(shared, &peers::encode(&peers::Message::Pulse(pulse)));
+    peers::tell_domain(shared, &peers::encode(&peers::Message::Progress(progress)));
 }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -16,10 +16,10 @@
 use crate::gateway::counters;
 use crate::gateway::dialect;
 use crate::gateway::keys;
-use crate::gateway::lending;
 use crate::gateway::peers;
 use crate::gateway::quota;
 use crate::gateway::registry;
+use crate::gateway::relay;
 use crate::gateway::settings;
 use crate::model;
 
@@ -50,7 +50,7 @@
     /// Begin of the last time in which the log did not answer.
     pub out_since: Cell<Option<clock::Millis>>,
     /// Reads that one daemon makes for its failure domain.
-    pub(crate) lending: RefCell<lending::Lending>,
+    pub(crate) relay: RefCell<relay::Relay>,
     /// Socket for messages to other daemons.
     pub(crate) socket: Rc<UdpSocket>,
     /// What is known of the targets' speed and load.
@@ -70,7 +70,7 @@
     /// Wakes calls that wait for records when the log returns from an outage.
     pub returned: Notify,
     /// Wakes the steward's loop.
-    pub stir: Notify,
+    pub wake_steward: Notify,
     /// Work per key, for the steward.
     pub demand: RefCell<HashMap<model::ServiceName, HashMap<u16, f32>>>,
     /// Other daemons.
@@ -108,7 +108,7 @@
             listed_at: Cell::default(),
             answering: Cell::default(),
             out_since: Cell::default(),
-            lending: RefCell::default(),
+            relay: RefCell::default(),
             socket: Rc::new(socket),
             choice: RefCell::default(),
             splits: RefCell::default(),
@@ -118,7 +118,7 @@
             table: RefCell::default(),
             moved: Notify::new(),
             returned: Notify::new(),
-            stir: Notify::new(),
+            wake_steward: Notify::new(),
             demand: RefCell::default(),
             stopping: Cell::default(),
             connections: Cell::default(),
--- a/tests/gateway_choice.rs
+++ b/tests/gateway_choice.rs
@@ -21,7 +21,7 @@
 const SLOTS: u32 = 4;
 
 /// Time for which a daemon's message on its requests counts, in milliseconds.
-const SAID: u64 = 2_000;
+const REPORT_LIFE: u64 = 2_000;
 
 const START: Millis = Millis(100_000);
 
@@ -219,12 +219,12 @@
     let digest = life(0).digest();
     table.on_counts(1, vec![(digest, 3)], START);
     table.on_counts(2, vec![(digest, 4)], START + 500);
-    table.expire(START + SAID);
-    assert_eq!(table.requests(&life(0), START + SAID), 7.0);
-    table.expire(START + SAID + 1);
-    assert_eq!(table.requests(&life(0), START + SAID + 1), 4.0);
-    table.expire(START + SAID + 501);
-    assert_eq!(table.requests(&life(0), START + SAID + 501), 0.0);
+    table.expire(START + REPORT_LIFE);
+    assert_eq!(table.requests(&life(0), START + REPORT_LIFE), 7.0);
+    table.expire(START + REPORT_LIFE + 1);
+    assert_eq!(table.requests(&life(0), START + REPORT_LIFE + 1), 4.0);
+    table.expire(START + REPORT_LIFE + 501);
+    assert_eq!(table.requests(&life(0), START + REPORT_LIFE + 501), 0.0);
 }
 
 /// Guards against a daemon that fills targets it has not used yet, as after its
--- a/tests/gateway_lending.rs
+++ b/tests/gateway_relay.rs
@@ -9,8 +9,8 @@
 use bytes::Bytes;
 use pistachiomoor::clock::Millis;
 use pistachiomoor::gateway::dialect::{Record, Topic};
-use pistachiomoor::gateway::lending::{Lending, Loan, Pulse, Step};
 use pistachiomoor::gateway::peers::{Directory, Notice};
+use pistachiomoor::gateway::relay::{Progress, Relay, Relayed, Step};
 use pistachiomoor::model::{DomainName, HostName, Incarnation, Offset};
 use proptest::prelude::*;
 
@@ -19,38 +19,38 @@
 /// Time without a sign of the reader that ends its reads for others, in milliseconds.
 const SILENCE: u64 = 1_240;
 
-/// Returns the loan of a range of offsets, with one record at each.
-fn loan(range: Range<u64>) -> Loan {
+/// Returns a relayed batch of a range of offsets, with one record at each.
+fn relayed(range: Range<u64>) -> Relayed {
     let records = range.clone().map(|offset| Record {
         offset: Offset(offset),
         key: format!("key-{offset}").into(),
         value: (offset % 3 > 0).then(|| Bytes::from(vec![offset as u8; 3])),
     });
     let (from, next) = (Offset(range.start), Offset(range.end));
-    Loan::new(Topic::Operator, from, next, next, records.collect())
+    Relayed::new(Topic::Operator, from, next, next, records.collect())
 }
 
-fn pulse(next: u64) -> Pulse {
-    Pulse {
+fn progress(next: u64) -> Progress {
+    Progress {
         next: [None, Some(Offset(next)), None, None],
         answering: 500,
     }
 }
 
-/// Takes loans one after the other, from an offset on, and returns the next one
+/// Takes relayed batches one after the other, from an offset on, and returns the next one
 /// with the offsets that were applied; reads what was missed from the log.
-fn follow(loans: impl IntoIterator<Item = Range<u64>>) -> (u64, BTreeSet<u64>) {
+fn follow(batches: impl IntoIterator<Item = Range<u64>>) -> (u64, BTreeSet<u64>) {
     let (mut from, mut applied) = (0, BTreeSet::new());
-    for range in loans {
-        let loan = loan(range.clone());
-        match loan.step(Offset(from)) {
+    for range in batches {
+        let relayed = relayed(range.clone());
+        match relayed.step(Offset(from)) {
             Step::Known => {}
             Step::Gap => {
                 applied.extend(from..range.end);
                 from = range.end;
             }
             Step::Next => {
-                let batch = loan.into_batch();
+                let batch = relayed.into_batch();
                 applied.extend(batch.records.iter().map(|record| record.offset.0));
                 from = batch.next.0;
             }
@@ -62,7 +62,7 @@
 /// Guards against records that are lost or changed on their way, removals among them.
 #[test]
 fn loan_records() {
-    let batch = loan(3..6).into_batch();
+    let batch = relayed(3..6).into_batch();
     assert_eq!((batch.next, batch.end), (Offset(6), Offset(6)));
     let records: Vec<_> = batch
         .records
@@ -77,67 +77,67 @@
     assert_eq!(records, expected);
 }
 
-/// Guards against loans in order that are taken for gaps, or for known ones.
+/// Guards against relayed batches in order that are taken for gaps, or for known ones.
 #[test]
 fn step_in_order() {
     for (range, from) in [(0..3, 0), (3..4, 3), (4..9, 4)] {
-        assert_eq!(loan(range).step(Offset(from)), Step::Next);
+        assert_eq!(relayed(range).step(Offset(from)), Step::Next);
     }
 }
 
-/// Guards against records that are skipped because a loan repeats others.
+/// Guards against records that are skipped because a batch repeats others.
 #[test]
 fn step_overlapping() {
-    assert_eq!(loan(2..6).step(Offset(4)), Step::Next);
-    assert_eq!(loan(2..6).step(Offset(5)), Step::Next);
-    assert_eq!(loan(2..6).step(Offset(6)), Step::Known);
-    assert_eq!(loan(2..6).step(Offset(9)), Step::Known);
+    assert_eq!(relayed(2..6).step(Offset(4)), Step::Next);
+    assert_eq!(relayed(2..6).step(Offset(5)), Step::Next);
+    assert_eq!(relayed(2..6).step(Offset(6)), Step::Known);
+    assert_eq!(relayed(2..6).step(Offset(9)), Step::Known);
 }
 
-/// Guards against records that are skipped because an earlier loan was lost.
+/// Guards against records that are skipped because an earlier relayed was lost.
 #[test]
 fn step_gap() {
-    assert_eq!(loan(5..6).step(Offset(4)), Step::Gap);
+    assert_eq!(relayed(5..6).step(Offset(4)), Step::Gap);
 }
 
-/// Guards against a last loan that is lost and not noticed: the next sign of the
+/// Guards against a last relayed that is lost and not noticed: the next sign of the
 /// reader names the offset.
 #[test]
-fn pulse_after_lost_loan() {
-    let mut lending = Lending::default();
-    assert_eq!(lending.known(Topic::Operator), None);
-    lending.on_pulse(pulse(4), START);
-    lending.on_pulse(pulse(5), START + 800);
-    assert_eq!(lending.known(Topic::Operator), Some(Offset(5)));
-    assert_eq!(lending.known(Topic::Targets), None);
-    assert_eq!(lending.answering(), Some(START + 300));
+fn progress_after_lost_loan() {
+    let mut relay = Relay::default();
+    assert_eq!(relay.known(Topic::Operator), None);
+    relay.on_progress(progress(4), START);
+    relay.on_progress(progress(5), START + 800);
+    assert_eq!(relay.known(Topic::Operator), Some(Offset(5)));
+    assert_eq!(relay.known(Topic::Targets), None);
+    assert_eq!(relay.answering(), Some(START + 300));
 }
 
 /// Guards against a missed record that stays unnoticed because an older sign of
 /// the reader, or one of a second reader that lags, arrives after a newer one.
 #[test]
-fn pulse_overtaken() {
-    let mut lending = Lending::default();
-    lending.on_pulse(pulse(5), START);
-    lending.on_pulse(pulse(4), START + 1);
-    let result = match lending.known(Topic::Operator) {
+fn progress_overtaken() {
+    let mut relay = Relay::default();
+    relay.on_progress(progress(5), START);
+    relay.on_progress(progress(4), START + 1);
+    let result = match relay.known(Topic::Operator) {
         Some(Offset(5)) => Ok(()),
         other => Err(format!("5 and then 4 were told, and {other:?} is known")),
     };
-    known::conclude("pulse_overtaken", result);
+    known::conclude("progress_overtaken", result);
 }
 
 /// Guards against a daemon that waits for a reader which is silent, and against
 /// one that gives it up early.
 #[test]
-fn pulse_silence() {
-    let mut lending = Lending::default();
-    assert!(!lending.is_heard(START, SILENCE));
-    lending.on_pulse(pulse(4), START);
-    assert!(lending.is_heard(START + SILENCE - 1, SILENCE));
-    assert!(!lending.is_heard(START + SILENCE, SILENCE));
-    lending.on_pulse(pulse(4), START + SILENCE);
-    assert!(lending.is_heard(START + SILENCE + 1, SILENCE));
+fn progress_silence() {
+    let mut relay = Relay::default();
+    assert!(!relay.is_heard(START, SILENCE));
+    relay.on_progress(progress(4), START);
+    assert!(relay.is_heard(START + SILENCE - 1, SILENCE));
+    assert!(!relay.is_heard(START + SILENCE, SILENCE));
+    relay.on_progress(progress(4), START + SILENCE);
+    assert!(relay.is_heard(START + SILENCE + 1, SILENCE));
 }
 
 fn notice(host: &str, domain: &str) -> Notice {
@@ -179,7 +179,7 @@
     prop::collection::vec(range, 1..40)
 }
 
-/// Returns the loans of a reader that reads on from 0 by steps.
+/// Returns the relayed batches of a reader that reads on from 0 by steps.
 fn reader(steps: &[u64]) -> Vec<Range<u64>> {
     let mut from = 0;
     let ranges = steps.iter().map(|step| {
@@ -190,7 +190,7 @@
 }
 
 proptest! {
-    /// Guards against records that are skipped when loans are lost, repeated or
+    /// Guards against records that are skipped when relayed batches are lost, repeated or
     /// come in any order.
     #[test]
     fn follow_any_order(ranges in ranges()) {
@@ -209,11 +209,11 @@
         lost in prop::collection::vec(prop::bool::weighted(0.2), 24),
     ) {
         let (mut first, mut second) = (reader(&first).into_iter(), reader(&second).into_iter());
-        let loans = turns.iter().filter_map(|turn| match turn {
+        let batches = turns.iter().filter_map(|turn| match turn {
             true => first.next(),
             false => second.next(),
         });
-        let kept = loans.zip(&lost).filter(|(_, lost)| !**lost);
+        let kept = batches.zip(&lost).filter(|(_, lost)| !**lost);
         let kept: Vec<_> = kept.map(|(range, _)| range).collect();
         let end = kept.iter().map(|range| range.end).max().unwrap_or(0);
         let (from, applied) = follow(kept);
