Keep grants within the longest lease that the settings name

Cause: the steward granted for 3 s, and for 10 s in an outage, whatever `bounds.lease` said, so that targets that allow less would refuse its grants; found by reading. with_lease_bounds_grants: red with the setting ignored ([3000, 3000, 3000, 10000, 10000] against 2,000), green now.

--- a/src/gateway/executor.rs
+++ b/src/gateway/executor.rs
@@ -43,6 +43,7 @@
 pub(crate) fn start(shared: &Rc<Shared>) {
     let host = shared.settings.host.clone();
     let machine = steward::Steward::new(host, shared.incarnation, clock::now());
+    let machine = machine.with_lease(shared.settings.bounds.lease.0);
     let machine: Steward = Rc::new(RefCell::new(machine));
     let socket = Rc::clone(&shared.socket);
     let reader = TableReader {
--- a/src/gateway/steward.rs
+++ b/src/gateway/steward.rs
@@ -286,6 +286,8 @@
     dirty: bool,
     /// The log did not answer when orders were last given.
     outage: bool,
+    /// Longest lease that targets accept, in milliseconds.
+    longest: u64,
 }
 
 /// A grant without an answer, which the target may still apply.
@@ -329,9 +331,24 @@
             tidy: None,
             dirty: true,
             outage: false,
+            longest: LONGEST,
         }
     }
 
+    /// Sets the longest lease that targets accept, in milliseconds; without it,
+    /// [`LONGEST`] holds.
+    pub fn with_lease(self, longest: u64) -> Self {
+        Self {
+            longest: longest.max(1),
+            ..self
+        }
+    }
+
+    /// Returns the lease of a renewal, in milliseconds.
+    fn hold(&self) -> u64 {
+        HOLD.min(self.longest)
+    }
+
     /// Returns the newest table known from the log.
     pub fn table(&self) -> Option<&keys::Table> {
         self.log.table.as_ref()
--- a/src/gateway/steward/orders.rs
+++ b/src/gateway/steward/orders.rs
@@ -153,7 +153,7 @@
             call.sent.map(|sent| sent + super::longest(lease))
         });
         let earlier = match self.foreign {
-            Some(foreign) if foreign > self.term => self.term + super::longest(super::HOLD),
+            Some(foreign) if foreign > self.term => self.term + super::longest(self.hold()),
             _ => clock::Millis(0),
         };
         let last = late.map(|late| late.until).chain(calls).max();
@@ -235,7 +235,7 @@
                 order.call = Some(self.last);
                 order.next = now + super::RENEWAL;
                 order.long = outage && !asks;
-                let lease = if outage { super::LONGEST } else { super::HOLD };
+                let lease = if outage { self.longest } else { self.hold() };
                 let call = super::Call {
                     id: id.clone(),
                     owner: owner.clone(),
--- a/src/gateway/steward/topic.rs
+++ b/src/gateway/steward/topic.rs
@@ -60,7 +60,7 @@
 
     /// Begins the term of this daemon.
     pub(super) fn begin(&mut self, now: clock::Millis, first: bool, readable: bool) {
-        let wait = super::RIGHT + super::longest(super::LONGEST);
+        let wait = super::RIGHT + super::longest(self.longest);
         self.foreign = Some(if first { now } else { now + wait });
         if !first && !readable {
             self.blank = now + wait;
--- a/tests/gateway_steward.rs
+++ b/tests/gateway_steward.rs
@@ -377,6 +377,21 @@
     assert_eq!(rig.keys_of("b"), 65_536);
 }
 
+/// Guards against leases that targets refuse as too long where a deployment
+/// allows less than ten seconds.
+#[test]
+fn with_lease_bounds_grants() {
+    let mut rig = Rig::new(vec![ready("a")]);
+    rig.steward = rig.steward.with_lease(2_000);
+    let mut orders = rig.run(2_000, done);
+    rig.log_up = false;
+    orders.extend(rig.run(2_000, done));
+    let leases = orders.iter().filter_map(|(_, order)| grant_of(order));
+    let leases: Vec<u64> = leases.map(|grant| grant.lease).collect();
+    assert!(!leases.is_empty());
+    assert!(leases.iter().all(|lease| *lease <= 2_000), "{leases:?}");
+}
+
 fn is_release(order: &steward::Action) -> bool {
     matches!(order, steward::Action::Release { .. })
 }
