Split the steward's tests by what they guard, and read settings files in one place

Cause: tests/gateway_steward.rs held the rig, directed cases, lost owners and the table's encoding in 830 lines; three commands read and reported a file alike. No check changed.

--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -43,11 +43,7 @@
 /// Returns every finding with its file and place.
 pub fn file(path: &Path) -> Result<&'static str, finding::Findings> {
     let place = path.display().to_string();
-    let text = std::fs::read_to_string(path).map_err(|error| {
-        let mut findings = finding::Findings::default();
-        findings.add(&place, "a readable file", error.to_string());
-        findings
-    })?;
+    let text = finding::read_file(path)?;
     if is_intent(&text) {
         intent::Intent::parse(&place, &text).map(|_| "intent")
     } else {
--- a/src/finding.rs
+++ b/src/finding.rs
@@ -1,6 +1,7 @@
 //! Findings about input: each names a place, and all are reported together.
 
 use std::fmt;
+use std::path::Path;
 
 /// One fault in the input.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -67,3 +68,19 @@
         Ok(())
     }
 }
+
+/// Reads a text file whose content is to be checked.
+///
+/// # Errors
+/// Returns a finding that names the file if it can't be read.
+pub fn read_file(path: &Path) -> Result<String, Findings> {
+    std::fs::read_to_string(path).map_err(|error| {
+        let mut findings = Findings::default();
+        findings.add(
+            path.display().to_string(),
+            "a readable file",
+            error.to_string(),
+        );
+        findings
+    })
+}
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -196,11 +196,7 @@
 /// Returns every finding with its file and place.
 pub fn load(path: &Path) -> Result<Settings, finding::Findings> {
     let place = path.display().to_string();
-    let text = std::fs::read_to_string(path).map_err(|error| {
-        let mut findings = finding::Findings::default();
-        findings.add(&place, "a readable file", error.to_string());
-        findings
-    })?;
+    let text = finding::read_file(path)?;
     parse(&place, &text)
 }
 
--- a/src/settings/load.rs
+++ b/src/settings/load.rs
@@ -13,11 +13,7 @@
 /// Returns every finding with its file and JSON pointer.
 pub fn load(path: &Path) -> Result<Settings, finding::Findings> {
     let place = path.display().to_string();
-    let text = std::fs::read_to_string(path).map_err(|error| {
-        let mut findings = finding::Findings::default();
-        findings.add(&place, "a readable file", error.to_string());
-        findings
-    })?;
+    let text = finding::read_file(path)?;
     parse(&place, &text)
 }
 
--- /dev/null
+++ b/tests/gateway_keys.rs
@@ -0,0 +1,109 @@
+//! The key table and its encoding.
+
+use std::collections::BTreeMap;
+
+use pistachiomoor::gateway::dialect;
+use pistachiomoor::gateway::keys;
+use pistachiomoor::model;
+
+fn owner(name: &str, birth: u64) -> keys::Owner {
+    keys::Owner {
+        target: name.into(),
+        birth,
+    }
+}
+
+/// Guards against a table with gaps or overlaps that is taken from the log.
+#[test]
+fn decode_gap_and_overlap() {
+    let run = |first, last| keys::Run {
+        range: dialect::Range { first, last },
+        ..keys::Run::unowned()
+    };
+    let table = |runs| keys::Table {
+        host: "h".into(),
+        incarnation: model::Incarnation(1),
+        services: BTreeMap::from([("s".into(), runs)]),
+    };
+    let sound = table(vec![run(0, 99), run(100, u16::MAX)]);
+    assert_eq!(keys::Table::decode(&sound.encode()), Ok(sound.clone()));
+    assert_eq!(sound.run_of(&"s".into(), 100).unwrap().range.first, 100);
+    for runs in [
+        vec![],
+        vec![run(0, 99), run(101, u16::MAX)],
+        vec![run(0, 100), run(100, u16::MAX)],
+        vec![run(0, 99)],
+        vec![run(0, u16::MAX), run(0, u16::MAX)],
+    ] {
+        let bytes = table(runs).encode();
+        assert!(keys::Table::decode(&bytes).is_err());
+    }
+    assert!(keys::Table::decode(b"x").is_err());
+}
+
+/// Guards against a record that repeats names of targets and fields, and
+/// against owners that differ after reading.
+#[test]
+fn encode_forty_runs() {
+    let life = |i: usize, age| {
+        let name = format!("target-{:02}.zone-a", i % 12);
+        Some(owner(&name, 1_790_000_000_000 + i as u64 % 12 * 977 - age))
+    };
+    let run = |i: usize| keys::Run {
+        range: dialect::Range {
+            first: i as u16 * 1_600,
+            last: if i == 39 {
+                u16::MAX
+            } else {
+                i as u16 * 1_600 + 1_599
+            },
+        },
+        owner: life(i, 0),
+        fence: 40_000 + i as u64,
+        prior: if i.is_multiple_of(8) {
+            life(i + 5, 0)
+        } else {
+            None
+        },
+    };
+    let mut table = keys::Table {
+        host: "host-1.zone-a".into(),
+        incarnation: model::Incarnation(u64::MAX),
+        services: BTreeMap::from([("service".into(), (0..40).map(run).collect())]),
+    };
+    let bytes = table.encode();
+    assert!(bytes.len() < 1_024, "{} bytes", bytes.len());
+    assert_eq!(keys::Table::decode(&bytes), Ok(table.clone()));
+    // An earlier birth of a target is another owner with the same name.
+    let runs = table.services.get_mut(&"service".into()).unwrap();
+    (runs[0].prior, runs[1].owner) = (life(0, 5), None);
+    assert_eq!(keys::Table::decode(&table.encode()), Ok(table));
+}
+
+/// Guards against an index without an owner that is read as "no owner".
+#[test]
+fn decode_index_out_of_range() {
+    type Run = (u16, u16, Option<u32>, u64, Option<u32>);
+    let table = |target: u32, run: Run| {
+        let services = BTreeMap::from([("s", vec![run])]);
+        let wire = ("h", 1_u64, vec!["a"], vec![(target, 1_u64)], services);
+        keys::Table::decode(&rmp_serde::to_vec(&wire).unwrap())
+    };
+    let sound = table(0, (0, u16::MAX, Some(0), 1, None)).unwrap();
+    let run = sound.run_of(&"s".into(), 7).unwrap();
+    assert_eq!(run.owner, Some(owner("a", 1)));
+    for (target, run, place) in [
+        (1, (0, u16::MAX, None, 1, None), "/owners/0/target"),
+        (0, (0, u16::MAX, Some(1), 1, None), "/services/s/0/owner"),
+        (0, (0, u16::MAX, None, 1, Some(1)), "/services/s/0/prior"),
+    ] {
+        let findings = table(target, run).unwrap_err();
+        let text = findings.to_string();
+        assert!(
+            text.contains(&format!(
+                "table, {place}: expected an index below 1, found 1"
+            )),
+            "{text}"
+        );
+    }
+}
--- a/tests/gateway_steward/load.rs
+++ b/tests/gateway_steward/load.rs
@@ -7,7 +7,7 @@
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 
-use super::{Rig, done, member, services};
+use super::rig::{Rig, done, member, services};
 
 const TARGETS: usize = 12;
 /// Number of neighbouring keys with load.
