--- a/tests/gateway_steward/model.rs
+++ b/tests/gateway_steward/model.rs
@@ -1,6 +1,11 @@
 //! Model of the platform: a log with conditional append, targets that check
 //! fences and leases, and daemons that may be paused between poll and sending.
 
+#[path = "fault.rs"]
+mod fault;
+#[path = "target.rs"]
+mod target;
+
 use std::collections::BTreeMap;
 
 use pistachiomoor::clock::Millis;
@@ -8,14 +13,14 @@
 use pistachiomoor::gateway::keys;
 use pistachiomoor::gateway::steward;
 use pistachiomoor::model;
-use proptest::prelude::*;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+use self::fault::Kind;
+pub use self::fault::{Fault, fault};
+
 const BUCKETS: usize = 65_536 / keys::BUCKET as usize;
 const TARGETS: usize = 4;
-/// Time up to which faults begin, in milliseconds.
-const FAULTS: u64 = 20_000;
 /// Time within which every key is held once faults are over, in milliseconds.
 const RECOVERY: u64 = 15_000;
 const ORDER_TIMEOUT: u64 = 500;
@@ -27,68 +32,6 @@
 /// milliseconds.
 const EXPIRY: u64 = 4_000;
 
-/// What goes wrong.
-#[derive(Clone, Copy, Debug)]
-pub enum Kind {
-    LogDown,
-    LogSlow,
-    LogRefuses(usize),
-    AppendsUnanswered,
-    DaemonKilled(usize),
-    DaemonPaused(usize),
-    HeartbeatsLost,
-    TargetKilled(usize),
-    TargetSilent(usize),
-    TargetLate(usize),
-    TargetLeaves(usize),
-    /// A target is listed as leaving, or not at all, then closes its listener
-    /// while it holds its keys, and ends.
-    TargetCloses(usize, bool),
-    /// A target works and holds keys while its entry is missing.
-    EntryLost(usize),
-    /// A daemon and a target reach each other and nothing else.
-    Partition(usize, usize),
-}
-
-/// A fault, the time at which it begins and its length, in milliseconds.
-#[derive(Clone, Copy, Debug)]
-pub struct Fault {
-    at: u64,
-    length: u64,
-    kind: Kind,
-}
-
-impl Fault {
-    fn is_on(&self, now: u64) -> bool {
-        (self.at..self.at + self.length).contains(&now)
-    }
-}
-
-/// Returns any fault.
-pub fn fault() -> impl Strategy<Value = Fault> {
-    let daemon = 0..3_usize;
-    let target = 0..TARGETS;
-    let kind = prop_oneof![
-        1 => Just(Kind::LogDown),
-        1 => Just(Kind::LogSlow),
-        1 => daemon.clone().prop_map(Kind::LogRefuses),
-        1 => Just(Kind::AppendsUnanswered),
-        1 => daemon.clone().prop_map(Kind::DaemonKilled),
-        2 => daemon.clone().prop_map(Kind::DaemonPaused),
-        1 => Just(Kind::HeartbeatsLost),
-        1 => target.clone().prop_map(Kind::TargetKilled),
-        2 => target.clone().prop_map(Kind::TargetSilent),
-        2 => target.clone().prop_map(Kind::TargetLate),
-        1 => target.clone().prop_map(Kind::TargetLeaves),
-        3 => (target.clone(), any::<bool>()).prop_map(|(k, gone)| Kind::TargetCloses(k, gone)),
-        1 => target.clone().prop_map(Kind::EntryLost),
-        3 => (daemon, target).prop_map(|(i, k)| Kind::Partition(i, k)),
-    ];
-    // A partition has to outlast the wait for leases of earlier stewards.
-    let times = (0..FAULTS, 100..18_000_u64);
-    (times, kind).prop_map(|((at, length), kind)| Fault { at, length, kind })
-}
-
 #[derive(Clone, Debug)]
 enum Event {
     Wake(usize, u64),
@@ -559,157 +502,6 @@
         steward.on_targets(now, listed, members, services);
         self.poll(i);
     }
-
-    fn entry(&self, k: usize) -> Option<steward::Member> {
-        let target = &self.targets[k];
-        if self.has(|kind| matches!(kind, Kind::EntryLost(t) if t == k)) {
-            return None;
-        }
-        let expired = !target.alive && self.now >= target.killed + EXPIRY;
-        let gone = |kind| matches!(kind, Kind::TargetCloses(t, true) if t == k);
-        let leaves = |kind| match kind {
-            Kind::TargetLeaves(t) | Kind::TargetCloses(t, false) => t == k,
-            _ => false,
-        };
-        let state = if expired || self.has(gone) {
-            steward::MemberState::Gone
-        } else if self.has(leaves) {
-            steward::MemberState::Leaving
-        } else if self.now < target.warm {
-            steward::MemberState::Cold
-        } else {
-            steward::MemberState::Ready
-        };
-        Some(steward::Member {
-            owner: keys::Owner {
-                target: format!("t{k}").as_str().into(),
-                birth: target.birth,
-            },
-            service: "s".into(),
-            domain: "d".into(),
-            weight: 1.0 + k as f64 / 2.0,
-            state,
-        })
-    }
-
-    fn is_closed(&self, k: usize) -> bool {
-        let closed = |fault: &Fault| {
-            let closes = matches!(fault.kind, Kind::TargetCloses(t, _) if t == k);
-            closes && fault.is_on(self.now) && self.now >= fault.at + CLOSING
-        };
-        self.faults.iter().any(closed)
-    }
-
-    fn send(&mut self, i: usize, life: u64, action: steward::Action) {
-        let (call, _) = parts(&action);
-        if !self.daemons[i].steward.may_send(Millis(self.now), call) {
-            let silent = steward::Reply::Silent;
-            self.put(self.now + 1, Event::Reply(i, life, call, silent));
-            return;
-        }
-        let delay = if self.rng.random_bool(0.1) {
-            self.rng.random_range(1..=200)
-        } else {
-            self.rng.random_range(1..3)
-        };
-        self.put(
-            self.now + ORDER_TIMEOUT,
-            Event::Reply(i, life, call, steward::Reply::Silent),
-        );
-        self.put(self.now + delay, Event::Arrive(i, life, action));
-    }
-
-    fn arrive(&mut self, i: usize, life: u64, action: steward::Action) {
-        let (call, owner) = parts(&action);
-        let k = target_of(&owner);
-        if !self.is_joined(i, k) {
-            return;
-        }
-        let gone = !self.targets[k].alive || self.targets[k].birth != owner.birth;
-        if gone || self.is_closed(k) {
-            let refused = steward::Reply::Refused;
-            self.put(self.now + 1, Event::Reply(i, life, call, refused));
-            return;
-        }
-        if let steward::Action::Grant { grant, .. } = &action
-            && self.is_fenced(k, grant)
-        {
-            let fenced = steward::Reply::Fenced;
-            self.put(self.now + 1, Event::Reply(i, life, call, fenced));
-            return;
-        }
-        let late = self.has(|kind| matches!(kind, Kind::TargetLate(t) if t == k));
-        let delay = if late {
-            self.rng.random_range(0..4_000)
-        } else {
-            0
-        };
-        let event = Event::Apply(i, life, action, owner.birth, self.now);
-        self.put(self.now + delay, event);
-    }
-
-    fn apply(&mut self, i: usize, life: u64, action: steward::Action, birth: u64, at: u64) {
-        let (call, owner) = parts(&action);
-        let k = target_of(&owner);
-        if !self.targets[k].alive || self.targets[k].birth != birth {
-            return;
-        }
-        let (reply, delay) = match action {
-            steward::Action::Grant { grant, .. } => (self.grant(k, &grant, at), 1),
-            steward::Action::Release { release, .. } => {
-                let target = &mut self.targets[k];
-                for bucket in buckets(release.range) {
-                    target.fences[bucket] = target.fences[bucket].max(release.fence);
-                    target.until[bucket] = 0;
-                }
-                let work = self.rng.random_range(1..700);
-                (steward::Reply::Done(Some("token".into())), work)
-            }
-            steward::Action::Append { .. } | steward::Action::Read => return,
-        };
-        self.put(self.now + delay, Event::Reply(i, life, call, reply));
-    }
-
-    fn is_fenced(&self, k: usize, grant: &dialect::Grant) -> bool {
-        let seen = buckets(grant.range).map(|bucket| self.targets[k].fences[bucket]);
-        seen.max().unwrap_or(0) > grant.fence
-    }
-
-    /// Applies a grant, whose fence was checked when it arrived: one that is
-    /// applied late may follow newer grants and releases.
-    fn grant(&mut self, k: usize, grant: &dialect::Grant, at: u64) -> steward::Reply {
-        let birth = self.targets[k].birth;
-        let until = at + (grant.lease as f64 * self.targets[k].rate) as u64;
-        for bucket in buckets(grant.range) {
-            let target = &mut self.targets[k];
-            target.fences[bucket] = target.fences[bucket].max(grant.fence);
-            target.until[bucket] = target.until[bucket].max(until);
-            if target.until[bucket] > self.now {
-                self.check(k, birth, bucket, grant.fence);
-            }
-        }
-        steward::Reply::Done(None)
-    }
-
-    fn check(&mut self, k: usize, birth: u64, bucket: usize, fence: u64) {
-        let holds = |(i, target): (usize, &Target)| {
-            i != k && target.alive && target.until[bucket] > self.now
-        };
-        if self.targets.iter().enumerate().any(holds) {
-            let holder = self.holders[bucket];
-            self.broken = Some(format!(
-                "t{k} and another target hold bucket {bucket}, fence {fence}, last {holder:?}"
-            ));
-        }
-        let last = self.holders[bucket].replace((k, birth, fence));
-        let fell =
-            |(i, born, before): (usize, u64, u64)| (i, born) != (k, birth) && before >= fence;
-        if last.is_some_and(fell) {
-            self.broken = Some(format!(
-                "t{k} holds bucket {bucket} with fence {fence} after {last:?}"
-            ));
-        }
-    }
 }
 
 fn parts(action: &steward::Action) -> (u64, keys::Owner) {
