Read operators' records again soon when only one call was cut off

Cause: after a read of operators' records whose connection was closed, the reader paused for 2 s, the pause meant for a log that is out.

Change: while the list of targets can be read, the pause is 200 ms; after a full read the reader tells its failure domain how far it has read.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -37,8 +37,13 @@
 /// Pause after a read of the targets that failed, in milliseconds.
 const PAUSE: u64 = 500;
 
-/// Longest pause after a read of another topic that failed, in milliseconds; it
-/// ends when the targets can be read again. Refused calls have a price as well.
+/// Pause after a read of another topic that failed while the log answers, in
+/// milliseconds.
+const SHORT_PAUSE: u64 = 200;
+
+/// Longest pause after a read of another topic that failed while the log is out, in
+/// milliseconds; it ends when the targets can be read again. Refused calls have a
+/// price as well.
 const LONG_PAUSE: u64 = 2_000;
 
 /// Pause between reads of the hosts' topic, in milliseconds: hosts start together.
@@ -214,7 +219,7 @@
 
 /// Reads the newest records; returns how long to pause.
 async fn read_all(
-    shared: &Shared,
+    shared: &Rc<Shared>,
     plan: &Plan,
     from: &mut Option<model::Offset>,
     reader: &mut impl Reader,
@@ -225,9 +230,10 @@
             reader.replace(records, end, source);
             *from = Some(end);
             shared.relay.borrow_mut().on_read(plan.topic, end);
+            relay::announce(shared);
             plan.pace
         }
-        Err(error) => fail(plan, &error, reader),
+        Err(error) => fail(shared, plan, &error, reader),
     }
 }
 
@@ -258,15 +264,17 @@
             *from = None;
             0
         }
-        Err(error) => fail(plan, &error, reader),
+        Err(error) => fail(shared, plan, &error, reader),
     }
 }
 
-fn fail(plan: &Plan, error: &Failure, reader: &mut impl Reader) -> u64 {
+fn fail(shared: &Shared, plan: &Plan, error: &Failure, reader: &mut impl Reader) -> u64 {
     log::debug!("reading {:?}: {error}", plan.topic);
     reader.failed();
+    // While the targets can be read, the log is not out, and only this call failed.
     match plan.topic {
         Topic::Targets => PAUSE,
+        _ if shared.answering.get().is_some() => SHORT_PAUSE,
         _ => LONG_PAUSE,
     }
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -316,11 +316,17 @@
     }
 }
 
+/// Tells the failure domain how far this daemon has read, if it is the reader.
+pub(crate) fn announce(shared: &Rc<Shared>) {
+    if !shared.stopping.get() && shared.is_reader(clock::now()) {
+        send_progress(shared);
+    }
+}
+
 /// Tells the failure domain that this daemon reads, after a read of its own.
 pub(crate) fn progress(shared: &Rc<Shared>, source: feed::Source) {
-    let own = matches!(source, feed::Source::Own(_));
-    if own && !shared.stopping.get() && shared.is_reader(clock::now()) {
-        send_progress(shared);
+    if matches!(source, feed::Source::Own(_)) {
+        announce(shared);
     }
 }
 
