Grant the longest leases only once a majority has acknowledged the outage

Change: heartbeats of a steward without confirmation ask for an acknowledgement; longest leases need one of more than half of the live daemons. A new steward asks a majority when it last acknowledged anything, and waits for longest leases only as long as these can last: 5.9 s after a takeover in place of 13 s without an outage.

--- a/src/gateway/executor.rs
+++ b/src/gateway/executor.rs
@@ -62,9 +62,9 @@
         Rc::clone(&machine),
         Rc::clone(&socket),
     ));
-    let claim = {
+    let word = {
         let (shared, machine) = (Rc::clone(shared), Rc::clone(&machine));
-        move || claim(&shared, &machine)
+        move || word(&shared, &machine)
     };
     let steward = {
         let shared = Rc::clone(shared);
@@ -78,19 +78,27 @@
     };
     let counts = peers::send_counts(Rc::clone(shared), Rc::clone(&socket));
     tokio::task::spawn_local(counts);
-    tokio::task::spawn_local(peers::send(Rc::clone(shared), socket, claim, steward));
+    tokio::task::spawn_local(peers::send(Rc::clone(shared), socket, word, steward));
 }
 
-fn claim(shared: &Shared, machine: &Steward) -> Option<peers::Claim> {
+fn word(shared: &Shared, machine: &Steward) -> peers::Word {
+    let now = clock::now();
     let mut machine = machine.borrow_mut();
     if shared.stopping.get() {
-        machine.resign(clock::now());
+        machine.resign(now);
     }
-    let offset = machine.offset().filter(|_| machine.is_steward())?;
-    Some(peers::Claim {
+    let offset = machine.offset().filter(|_| machine.is_steward());
+    let claim = offset.map(|offset| peers::Claim {
         offset,
-        confirmed: machine.confirmed_age(clock::now()),
-    })
+        confirmed: machine.confirmed_age(now),
+        outage: machine.ask(now),
+    });
+    let (quiet, known) = machine.report(now);
+    peers::Word {
+        claim,
+        known,
+        quiet,
+    }
 }
 
 async fn receive(shared: Rc<Shared>, machine: Steward, socket: Rc<UdpSocket>) {
@@ -107,27 +115,44 @@
             peers::Message::Progress(progress) => {
                 return shared.relay.borrow_mut().on_progress(progress, now);
             }
+            peers::Message::Acknowledged(host, outage) => {
+                machine.borrow_mut().on_acknowledged(now, host, outage);
+                return shared.wake_steward.notify_one();
+            }
         };
         shared.peers.borrow_mut().on_heartbeat(&heartbeat.host, now);
         judge_outage(&shared, heartbeat.answering, now);
         let mut machine = machine.borrow_mut();
+        let from = heartbeat.host;
         for (service, figures) in heartbeat.load {
-            machine.on_load(now, heartbeat.host.clone(), service, figures);
+            machine.on_load(now, from.clone(), service, figures);
         }
+        machine.on_report(now, from.clone(), heartbeat.known, heartbeat.quiet);
         if let Some(claim) = heartbeat.claim {
-            let peers::Claim { offset, confirmed } = claim;
-            machine.on_heartbeat(
-                now,
-                heartbeat.host,
-                heartbeat.incarnation,
-                offset,
-                confirmed,
-            );
+            let peers::Claim {
+                offset, confirmed, ..
+            } = claim;
+            let incarnation = heartbeat.incarnation;
+            machine.on_heartbeat(now, from.clone(), incarnation, offset, confirmed);
+            if let Some(outage) = claim.outage
+                && machine.acknowledge(now, offset)
+            {
+                acknowledge(&shared, &from, outage);
+            }
         }
     };
     peers::receive(Rc::clone(&socket), take).await;
 }
 
+/// Tells the steward that this daemon has taken note of its outage.
+fn acknowledge(shared: &Shared, steward: &model::HostName, outage: u64) {
+    let message = peers::Message::Acknowledged(shared.settings.host.clone(), outage);
+    if let Some(address) = shared.peers.borrow().address(steward) {
+        // The steward asks again if this is lost.
+        let _ = shared.socket.try_send_to(&peers::encode(&message), address);
+    }
+}
+
 /// Ends the doubt about removed targets if the log served another daemon while
 /// it did not answer this one: then this host was cut off, and the log was not out.
 fn judge_outage(shared: &Shared, answering: u64, now: clock::Millis) {
@@ -231,6 +256,7 @@
                     state.on_load(now, shared.settings.host.clone(), service, figures);
                 }
             }
+            state.on_daemons(shared.peers.borrow().live(now));
             state.on_targets(now, shared.listed_at.get(), members, services);
             let actions = state.poll(now, rank);
             drop(state);
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -96,6 +96,18 @@
     pub(crate) offset: model::Offset,
     /// Time since it knew that no newer record exists, in milliseconds.
     pub(crate) confirmed: Option<u64>,
+    /// Outage of the log that daemons are asked to acknowledge.
+    #[serde(default)]
+    pub(crate) outage: Option<u64>,
+}
+
+/// What a daemon's heartbeat says besides its load.
+pub(crate) struct Word {
+    pub(crate) claim: Option<Claim>,
+    /// Newest record of the key table that the daemon knows.
+    pub(crate) known: Option<model::Offset>,
+    /// Time for which the daemon has acknowledged no outage, in milliseconds.
+    pub(crate) quiet: u64,
 }
 
 /// Work by bucket of keys of one service.
@@ -113,6 +125,12 @@
     pub(crate) claim: Option<Claim>,
     #[serde(default)]
     pub(crate) load: BTreeMap<model::ServiceName, Figures>,
+    /// Newest record of the key table that it knows.
+    #[serde(default)]
+    pub(crate) known: Option<model::Offset>,
+    /// Time for which it has acknowledged no outage of the log, in milliseconds.
+    #[serde(default)]
+    pub(crate) quiet: u64,
 }
 
 /// A datagram between daemons.
@@ -130,6 +148,9 @@
     /// The reader of the failure domain reads.
     #[serde(rename = "p")]
     Progress(relay::Progress),
+    /// This host acknowledges the outage that a steward named.
+    #[serde(rename = "a")]
+    Acknowledged(model::HostName, u64),
 }
 
 #[derive(Clone, Debug)]
@@ -259,26 +280,26 @@
     }
 }
 
-/// Sends heartbeats for the life of the process; `claim` says whether this
-/// daemon is the steward. Load goes to the steward named by `steward`.
+/// Sends heartbeats for the life of the process; `word` says what they carry.
+/// Load goes to the steward named by `steward`.
 pub(crate) async fn send(
     shared: Rc<Shared>,
     socket: Rc<UdpSocket>,
-    claim: impl Fn() -> Option<Claim>,
+    word: impl Fn() -> Word,
     steward: impl Fn() -> Option<model::HostName>,
 ) {
     let mut beat = 0_u64;
     loop {
-        let claim = claim();
+        let word = word();
         let every = BEAT / STEWARD_BEAT;
         let full = beat.is_multiple_of(every);
         beat += 1;
-        if (claim.is_some() || full) && !shared.stopping.get() {
+        if (word.claim.is_some() || full) && !shared.stopping.get() {
             let load = match full {
                 true => take_load(&shared),
                 false => BTreeMap::new(),
             };
-            send_once(&shared, &socket, claim, load, steward()).await;
+            send_once(&shared, &socket, word, load, steward()).await;
         }
         tokio::time::sleep(Duration::from_millis(STEWARD_BEAT)).await;
     }
@@ -345,7 +366,7 @@
 async fn send_once(
     shared: &Shared,
     socket: &UdpSocket,
-    claim: Option<Claim>,
+    word: Word,
     load: BTreeMap<model::ServiceName, Figures>,
     steward: Option<model::HostName>,
 ) {
@@ -353,8 +374,10 @@
         host: shared.settings.host.clone(),
         incarnation: shared.incarnation,
         answering: shared.answering_for(clock::now()),
-        claim,
+        claim: word.claim,
         load: BTreeMap::new(),
+        known: word.known,
+        quiet: word.quiet,
     };
     let whole = Heartbeat {
         load,
--- a/src/gateway/steward/orders.rs
+++ b/src/gateway/steward/orders.rs
@@ -137,7 +137,37 @@
             of == service && by == owner && overlap
         });
         let own = holds.map(|(_, until)| *until).max().unwrap_or_default();
-        own.max(self.foreign.unwrap_or_default())
+        own.max(self.foreign_until())
+    }
+
+    /// Returns until when the longest leases of earlier stewards may last.
+    fn long_until(&self) -> clock::Millis {
+        let worst = self.foreign.unwrap_or_default();
+        match self.witnesses.latest(self.first) {
+            // A steward that was acknowledged may act for what is left of its right.
+            Some(latest) => {
+                let sent = latest + (super::RIGHT - super::OUTAGE);
+                worst.min(sent + super::longest(self.longest))
+            }
+            None => worst,
+        }
+    }
+
+    /// Returns until when usual leases of earlier stewards may last.
+    fn usual_until(&self) -> clock::Millis {
+        let worst = self.foreign.unwrap_or_default();
+        worst.min(self.term + super::RIGHT + super::longest(self.hold()))
+    }
+
+    /// Returns until when leases of earlier stewards may last.
+    pub(super) fn foreign_until(&self) -> clock::Millis {
+        self.usual_until().max(self.long_until())
+    }
+
+    /// Returns whether the longest leases are due and allowed.
+    fn may_lengthen(&self, now: clock::Millis) -> bool {
+        let confirmed = self.log.confirmed.unwrap_or_default();
+        now.since(confirmed) >= super::OUTAGE && self.witnesses.suffice(confirmed.0)
     }
 
     /// Returns until when a grant without an answer may still give `owner` keys
@@ -166,9 +196,7 @@
     /// of its keys any more.
     ///
     /// An earlier steward may have left grants without an answer as well. They
-    /// arrived before the release, or else they were refused. Grants with the
-    /// longest lease, which a steward sends only while the log does not answer it,
-    /// are not waited for: see KNOWN-RED.txt.
+    /// arrived before the release, or else they were refused.
     fn clear_at(
         &self,
         service: &model::ServiceName,
@@ -176,10 +204,10 @@
         range: dialect::Range,
         released: clock::Millis,
     ) -> clock::Millis {
-        let earlier = match self.foreign {
-            Some(foreign) => foreign.min(released + super::longest(self.hold())),
-            None => clock::Millis(0),
-        };
+        let usual = released + super::longest(self.hold());
+        let long = released + super::longest(self.longest);
+        let earlier = self.usual_until().min(usual);
+        let earlier = earlier.max(self.long_until().min(long));
         self.late_until(service, owner, range).max(earlier)
     }
 
@@ -198,8 +226,7 @@
     }
 
     pub(super) fn order(&mut self, now: clock::Millis, actions: &mut Vec<super::Action>) {
-        let confirmed = self.log.confirmed.unwrap_or_default();
-        let outage = now.since(confirmed) >= super::OUTAGE;
+        let outage = self.may_lengthen(now);
         if now < self.due && outage == self.outage {
             return;
         }
--- a/src/gateway/steward/revise.rs
+++ b/src/gateway/steward/revise.rs
@@ -164,7 +164,7 @@
         }
         // A move that can wait begins once its keys can be granted when they are
         // released: leases of earlier stewards have ended.
-        let settled = self.foreign.is_some_and(|until| now >= until);
+        let settled = now >= self.foreign_until();
         if !settled || seats.iter().any(|seat| !self.is_warm(service, seat)) {
             return Vec::new();
         }
--- a/src/gateway/steward/topic.rs
+++ b/src/gateway/steward/topic.rs
@@ -53,6 +53,7 @@
             self.quiet.clear();
         } else if self.foreign.is_none() {
             self.begin(now, known.0.is_none(), known.1);
+            self.first = offset;
         }
         self.log.table = table;
         self.follow(now, offset);
--- a/tests/gateway_steward.rs
+++ b/tests/gateway_steward.rs
@@ -7,6 +7,8 @@
 mod lost;
 #[path = "gateway_steward/rig.rs"]
 mod rig;
+#[path = "gateway_steward/witness.rs"]
+mod witness;
 #[path = "gateway_steward/model.rs"]
 mod world;
 
--- a/tests/gateway_steward/model.rs
+++ b/tests/gateway_steward/model.rs
@@ -49,12 +49,24 @@
     Read(usize, u64, u64),
     ReadDone(usize, u64, u64, Option<(u64, Vec<u8>)>, u64),
     Unread(usize, u64),
-    Heard(usize, usize, u64, Option<(u64, Option<u64>)>),
+    Heard(usize, usize, u64, Beat),
+    /// A daemon's acknowledgement of an outage.
+    Acknowledged(usize, usize, u64),
     DaemonStarts(usize),
     TargetStarts(usize),
     TargetStops(usize),
 }
 
+/// What a heartbeat says.
+#[derive(Clone, Debug)]
+struct Beat {
+    /// Offset and age of the steward's confirmation.
+    claim: Option<(u64, Option<u64>)>,
+    outage: Option<u64>,
+    quiet: u64,
+    known: Option<model::Offset>,
+}
+
 struct Daemon {
     life: u64,
     alive: bool,
@@ -220,7 +232,9 @@
     /// Returns the daemon of an event and its life.
     fn daemon_of(event: &Event) -> Option<(usize, Option<u64>)> {
         match event {
-            Event::Wake(i, _) | Event::Heard(i, ..) => Some((*i, None)),
+            Event::Wake(i, _) | Event::Heard(i, ..) | Event::Acknowledged(i, ..) => {
+                Some((*i, None))
+            }
             Event::Beat(i, life)
             | Event::List(i, life)
             | Event::Listed(i, life, ..)
@@ -299,6 +313,12 @@
                 self.poll(i);
             }
             Event::Heard(i, from, life, beat) => self.heard(i, from, life, beat),
+            Event::Acknowledged(i, from, outage) => {
+                self.daemons[i]
+                    .steward
+                    .on_acknowledged(now, host(from), outage);
+                self.poll(i);
+            }
             Event::DaemonStarts(i) => self.restart(i),
             Event::TargetStops(i) => {
                 self.targets[i].alive = false;
@@ -332,6 +352,8 @@
         let rank = (0..i).filter(|&k| self.daemons[i].heard[k] + 2_000 > self.now);
         let rank = rank.count() as u32;
         let life = self.daemons[i].life;
+        let live = self.daemons.len() as u32;
+        self.daemons[i].steward.on_daemons(live);
         for action in self.daemons[i].steward.poll(Millis(self.now), rank) {
             match action {
                 steward::Action::Read => self.begin_read(i, life),
@@ -445,31 +467,51 @@
     }
 
     fn beat(&mut self, i: usize, life: u64) {
-        let steward = &self.daemons[i].steward;
+        let now = Millis(self.now);
+        let steward = &mut self.daemons[i].steward;
         let is_steward = steward.is_steward();
-        let age = steward.confirmed_age(Millis(self.now));
-        let beat = is_steward.then(|| (steward.offset().unwrap().0, age));
-        let lost = self.has(|kind| matches!(kind, Kind::HeartbeatsLost));
+        let age = steward.confirmed_age(now);
+        let (quiet, known) = steward.report(now);
+        let beat = Beat {
+            claim: is_steward.then(|| (steward.offset().unwrap().0, age)),
+            outage: steward.ask(now),
+            quiet,
+            known,
+        };
         for k in (0..self.daemons.len()).filter(|&k| k != i) {
-            let apart = self.is_apart(i) || self.is_apart(k);
-            if !(apart || lost && self.rng.random_bool(0.8)) {
-                let at = self.now + self.rng.random_range(1..3);
-                self.put(at, Event::Heard(k, i, life, beat));
+            if let Some(at) = self.datagram(i, k) {
+                self.put(at, Event::Heard(k, i, life, beat.clone()));
             }
         }
         let period = if is_steward { 250 } else { 1_000 };
         self.put(self.now + period, Event::Beat(i, life));
     }
 
-    fn heard(&mut self, i: usize, from: usize, life: u64, beat: Option<(u64, Option<u64>)>) {
+    /// Returns when a datagram from daemon `i` reaches daemon `k`, if it does.
+    fn datagram(&mut self, i: usize, k: usize) -> Option<u64> {
+        let apart = self.is_apart(i) || self.is_apart(k);
+        let lost = self.has(|kind| matches!(kind, Kind::HeartbeatsLost));
+        let arrives = !(apart || lost && self.rng.random_bool(0.8));
+        arrives.then(|| self.now + self.rng.random_range(1..3))
+    }
+
+    fn heard(&mut self, i: usize, from: usize, life: u64, beat: Beat) {
         self.daemons[i].heard[from] = self.now;
-        if let Some((offset, age)) = beat {
-            let (now, incarnation) = (Millis(self.now), model::Incarnation(life));
-            let offset = model::Offset(offset);
-            let steward = &mut self.daemons[i].steward;
-            steward.on_heartbeat(now, host(from), incarnation, offset, age);
-            self.poll(i);
+        let now = Millis(self.now);
+        let steward = &mut self.daemons[i].steward;
+        steward.on_report(now, host(from), beat.known, beat.quiet);
+        let Some((offset, age)) = beat.claim else {
+            return;
+        };
+        let (incarnation, offset) = (model::Incarnation(life), model::Offset(offset));
+        steward.on_heartbeat(now, host(from), incarnation, offset, age);
+        if let Some(outage) = beat.outage
+            && steward.acknowledge(now, offset)
+            && let Some(at) = self.datagram(i, from)
+        {
+            self.put(at, Event::Acknowledged(from, i, outage));
         }
+        self.poll(i);
     }
 
     /// Reads the list of targets for a daemon, about every 0.9 s. The list is
