Let one answered daemon read for its domain, and share calls out in an outage

Cause: while the log refused or did not answer, each daemon called it for itself: twice a second for the targets, every 2 s for three more topics, and twice a second for the key table once the steward could not confirm. Where the first daemon of a domain was turned away and others were served, all of them read at full pace, because only the first one passed records on.

Change: a daemon whose calls are answered passes on what it reads unless it hears another one it leaves reading to (the steward, or one earlier by name); first calls after a silence follow one another by 50 ms; from the second failure on the daemons of a domain together call as often as one; reads by which daemons suspect a steward are spaced by rank. Batches too long for a datagram are split by records.

--- a/src/gateway/executor.rs
+++ b/src/gateway/executor.rs
@@ -112,8 +112,12 @@
             peers::Message::Relayed(relayed) => {
                 return shared.relay.borrow_mut().on_relayed(relayed);
             }
-            peers::Message::Progress(progress) => {
-                return shared.relay.borrow_mut().on_progress(progress, now);
+            peers::Message::Progress(host, progress) => {
+                if shared.yields_to(&host) {
+                    shared.relay.borrow_mut().on_progress(progress, now);
+                    shared.relayed.notify_waiters();
+                }
+                return;
             }
             peers::Message::Acknowledged(host, outage) => {
                 machine.borrow_mut().on_acknowledged(now, host, outage);
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -34,16 +34,17 @@
 /// Time for a connection to the log.
 const CONNECT: Duration = Duration::from_millis(500);
 
-/// Pause after a read of the targets that failed, in milliseconds.
+/// Pause after a read of the targets that failed, in milliseconds. Refused calls
+/// have a price as well, so that the daemons of a failure domain share these calls
+/// from the second failure on.
 const PAUSE: u64 = 500;
 
 /// Pause after a read of another topic that failed while the log answers, in
 /// milliseconds.
 const SHORT_PAUSE: u64 = 200;
 
-/// Longest pause after a read of another topic that failed while the log is out, in
-/// milliseconds; it ends when the targets can be read again. Refused calls have a
-/// price as well.
+/// Pause after a read of another topic that failed while the log is out, in
+/// milliseconds; it ends when the targets can be read again.
 const LONG_PAUSE: u64 = 2_000;
 
 /// Pause between reads of the hosts' topic, in milliseconds: hosts start together.
@@ -172,38 +173,44 @@
     pub(crate) pace: u64,
 }
 
+/// How far a topic has been read.
+#[derive(Debug, Default)]
+struct Place {
+    /// Offset from which to go on; `None` until the newest records were read.
+    from: Option<model::Offset>,
+    /// Calls in a row that failed.
+    failures: u32,
+}
+
+impl Place {
+    fn on_read(&mut self, next: model::Offset) {
+        self.from = Some(next);
+        self.failures = 0;
+    }
+}
+
 /// Follows a topic for the life of the process: by calls of its own, or by what
-/// the reader of the failure domain passes on.
+/// another daemon of the failure domain passes on.
 pub(crate) async fn follow(shared: Rc<Shared>, plan: Plan, mut reader: impl Reader) {
     let mut inbox = shared.relay.borrow_mut().open(plan.topic);
-    let mut from: Option<model::Offset> = None;
+    let mut place = Place::default();
     loop {
-        let pause = match from {
-            None => read_all(&shared, &plan, &mut from, &mut reader).await,
+        let pause = match place.from {
+            None => read_all(&shared, &plan, &mut place, &mut reader).await,
             Some(offset) if shared.is_relayed() => {
-                match relay::receive(&shared, &plan, &mut inbox, offset).await {
-                    relay::Received::Batch(batch) => {
-                        from = Some(batch.next);
-                        reader.apply(batch, Source::Relayed);
-                        0
-                    }
-                    relay::Received::Behind => {
-                        read_on(&shared, &plan, 0, &mut from, &mut reader).await;
-                        0
-                    }
-                    relay::Received::Nothing => 0,
-                }
+                let received = relay::receive(&shared, &plan, &mut inbox, offset).await;
+                take(&shared, &plan, &mut place, received, &mut reader).await
             }
             Some(offset) => {
-                let read = read_on(&shared, &plan, plan.wait, &mut from, &mut reader);
+                let read = read_on(&shared, &plan, plan.wait, &mut place, &mut reader);
                 let read = tokio::select! {
-                    pause = read => Some(pause),
+                    pause = read => Ok(pause),
                     // A call that waits may miss a record that another daemon has read.
-                    _ = relay::newer(&shared, &plan, &mut inbox, offset) => None,
+                    received = relay::newer(&shared, &plan, &mut inbox, offset) => Err(received),
                 };
                 match read {
-                    Some(pause) => pause,
-                    None => read_on(&shared, &plan, 0, &mut from, &mut reader).await,
+                    Ok(pause) => pause,
+                    Err(received) => take(&shared, &plan, &mut place, received, &mut reader).await,
                 }
             }
         };
@@ -212,28 +219,51 @@
             tokio::select! {
                 _ = pause => {}
                 _ = shared.returned.notified(), if plan.topic != Topic::Targets => {}
+                _ = shared.relayed.notified(), if place.failures > 0 => {}
             }
         }
     }
 }
 
+/// Takes what came from the reader; returns how long to pause.
+async fn take(
+    shared: &Rc<Shared>,
+    plan: &Plan,
+    place: &mut Place,
+    received: relay::Received,
+    reader: &mut impl Reader,
+) -> u64 {
+    match received {
+        relay::Received::Batch(batch) => {
+            place.on_read(batch.next);
+            reader.apply(batch, Source::Relayed);
+            0
+        }
+        relay::Received::Behind => {
+            read_on(shared, plan, 0, place, reader).await;
+            0
+        }
+        relay::Received::Nothing => 0,
+    }
+}
+
 /// Reads the newest records; returns how long to pause.
 async fn read_all(
     shared: &Rc<Shared>,
     plan: &Plan,
-    from: &mut Option<model::Offset>,
+    place: &mut Place,
     reader: &mut impl Reader,
 ) -> u64 {
     let source = Source::Own(clock::now());
     match newest(shared, plan.topic).await {
         Ok((records, end)) => {
             reader.replace(records, end, source);
-            *from = Some(end);
+            place.on_read(end);
             shared.relay.borrow_mut().on_read(plan.topic, end);
             relay::announce(shared);
             plan.pace
         }
-        Err(error) => fail(shared, plan, &error, reader),
+        Err(error) => fail(shared, plan, place, &error, reader),
     }
 }
 
@@ -242,10 +272,10 @@
     shared: &Rc<Shared>,
     plan: &Plan,
     wait: u64,
-    from: &mut Option<model::Offset>,
+    place: &mut Place,
     reader: &mut impl Reader,
 ) -> u64 {
-    let Some(offset) = *from else {
+    let Some(offset) = place.from else {
         return 0;
     };
     let source = Source::Own(clock::now());
@@ -253,7 +283,7 @@
         Ok(batch) => {
             let (next, end) = (batch.next, batch.end);
             let records = reader.apply(batch, source);
-            *from = Some(next);
+            place.on_read(next);
             shared.relay.borrow_mut().on_read(plan.topic, next);
             relay::pass_on(shared, plan.topic, offset, next, end, records);
             plan.pace
@@ -261,24 +291,43 @@
         Err(Failure::Answer(dialect::ReadError::Trimmed(first))) => {
             let topic = plan.topic;
             log::info!("records of {topic:?} before offset {first} are gone; reading the newest");
-            *from = None;
+            place.from = None;
             0
         }
-        Err(error) => fail(shared, plan, &error, reader),
+        Err(error) => fail(shared, plan, place, &error, reader),
     }
 }
 
-fn fail(shared: &Shared, plan: &Plan, error: &Failure, reader: &mut impl Reader) -> u64 {
+/// Takes note of a failure; returns how long to pause.
+fn fail(
+    shared: &Shared,
+    plan: &Plan,
+    place: &mut Place,
+    error: &Failure,
+    reader: &mut impl Reader,
+) -> u64 {
     log::debug!("reading {:?}: {error}", plan.topic);
     reader.failed();
+    place.failures += 1;
     // While the targets can be read, the log is not out, and only this call failed.
-    match plan.topic {
+    let pause = match plan.topic {
         Topic::Targets => PAUSE,
-        _ if shared.answering.get().is_some() => SHORT_PAUSE,
+        _ if shared.answering.get().is_some() => return SHORT_PAUSE,
         _ => LONG_PAUSE,
+    };
+    match place.failures {
+        1 => pause,
+        _ => share_out(pause, shared.neighbours(), rand::random()),
     }
 }
 
+/// Returns the pause of one of `daemons` daemons that together are to make a call
+/// each `pause` milliseconds. `random` in 0 to 1 keeps their calls apart.
+fn share_out(pause: u64, daemons: u64, random: f64) -> u64 {
+    let all = pause * daemons;
+    all / 2 + (all as f64 * random) as u64
+}
+
 /// Starts all readers.
 pub(crate) fn start(shared: &Rc<Shared>) {
     let operator = readers::Operator {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -145,9 +145,9 @@
     /// Records of the log, read for the failure domain.
     #[serde(rename = "l")]
     Relayed(relay::Relayed),
-    /// The reader of the failure domain reads.
+    /// This host reads for its failure domain.
     #[serde(rename = "p")]
-    Progress(relay::Progress),
+    Progress(model::HostName, relay::Progress),
     /// This host acknowledges the outage that a steward named.
     #[serde(rename = "a")]
     Acknowledged(model::HostName, u64),
@@ -226,15 +226,10 @@
             .filter(move |peer| peer.heard.is_some_and(|heard| now.since(heard) < RANKED))
     }
 
-    /// Returns whether a host of `domain` was heard of late.
-    pub fn is_near(
-        &self,
-        host: &model::HostName,
-        domain: &model::DomainName,
-        now: clock::Millis,
-    ) -> bool {
-        let mut peers = self.ranked(now);
-        peers.any(|peer| peer.notice.host == *host && peer.notice.domain == *domain)
+    /// Returns the number of daemons of `domain` that were heard of late.
+    pub(crate) fn near(&self, domain: &model::DomainName, now: clock::Millis) -> u64 {
+        let peers = self.ranked(now);
+        peers.filter(|peer| peer.notice.domain == *domain).count() as u64
     }
 
     /// Returns how many live daemons come before `own` in the order of take-over.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,10 +1,11 @@
 //! Reads of the log that one daemon makes for all of its failure domain.
 //!
-//! Calls to the log have a price and a common limit. The first live daemon of a
-//! failure domain, by name, reads all topics and passes records on by datagram.
-//! With each read of the targets it tells the offsets up to which it has read, so
-//! that the others notice what they missed, and that it still reads. Whoever hears
-//! nothing for a while makes its own calls.
+//! Calls to the log have a price and a common limit. One daemon of a failure
+//! domain reads all topics and passes records on by datagram. With each read of the
+//! targets it tells the offsets up to which it has read, so that the others notice
+//! what they missed, and that it still reads. Whoever hears nothing for a while
+//! makes its own calls, and passes on what they show. Of several readers, the
+//! steward goes on, or else the first by name whose calls are answered.
 
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -29,6 +30,13 @@
 /// Largest datagram that is sent, in bytes.
 const DATAGRAM: usize = 8_000;
 
+/// Time by which daemons that hear no reader make their first call one after the
+/// other, in milliseconds: the first answer spares the others their calls.
+const STAGGER: u64 = 50;
+
+/// Most daemons that make their first call one after the other.
+const STAGGERED: u32 = 6;
+
 /// Time for records under way before a daemon reads what it seems to have missed.
 const UNDER_WAY: Duration = Duration::from_millis(30);
 
@@ -122,6 +130,8 @@
     inboxes: HashMap<Topic, mpsc::UnboundedSender<Option<Relayed>>>,
     next: [Option<model::Offset>; 4],
     heard: Option<(clock::Millis, Progress)>,
+    /// Time of the last own read that was answered.
+    read: Option<clock::Millis>,
 }
 
 fn index(topic: Topic) -> usize {
@@ -149,6 +159,12 @@
     /// Takes note of an own read up to `next`.
     pub(crate) fn on_read(&mut self, topic: Topic, next: model::Offset) {
         self.next[index(topic)] = Some(next);
+        self.read = Some(clock::now());
+    }
+
+    /// Returns whether an own read was answered less than `silence` milliseconds ago.
+    fn is_reading(&self, now: clock::Millis, silence: u64) -> bool {
+        self.read.is_some_and(|read| now.since(read) < silence)
     }
 
     /// Takes records that the reader passed on.
@@ -195,34 +211,49 @@
 }
 
 impl Shared {
+    /// Returns the time without a sign of the reader after which this daemon makes
+    /// its own calls, in milliseconds.
     fn silence(&self) -> u64 {
-        self.settings.bounds.drain.0 * SILENCE / 100
+        let settings = &self.settings;
+        let local = |domain: &model::DomainName| *domain == settings.domain;
+        let peers = self.peers.borrow();
+        let rank = peers.rank(&settings.host, &settings.domain, clock::now(), local);
+        let wait = STAGGER * u64::from(rank.min(STAGGERED));
+        settings.bounds.drain.0 * SILENCE / 100 + wait
     }
 
-    /// Returns whether another daemon reads the log for this one.
+    /// Returns whether another daemon reads the log for this one. The steward reads
+    /// it itself, since it judges targets by the time of its own reads.
     pub(crate) fn is_relayed(&self) -> bool {
-        let now = clock::now();
-        let heard = self.relay.borrow().is_heard(now, self.silence());
-        heard && !self.is_reader(now)
+        let heard = || {
+            let silence = self.silence();
+            self.relay.borrow().is_heard(clock::now(), silence)
+        };
+        !self.is_steward() && heard()
     }
 
-    /// Returns whether this daemon reads the log for its failure domain: the
-    /// steward in its own domain, since it judges targets by the time of its own
-    /// reads, and the first live daemon elsewhere.
-    fn is_reader(&self, now: clock::Millis) -> bool {
-        let settings = &self.settings;
-        let peers = self.peers.borrow();
+    fn is_steward(&self) -> bool {
         let table = self.table.borrow();
-        if let Some((_, table)) = table.as_ref() {
-            if table.incarnation == self.incarnation {
-                return true;
-            }
-            if peers.is_near(&table.host, &settings.domain, now) {
-                return false;
-            }
+        let steward = table.as_ref().map(|(_, table)| table.incarnation);
+        steward == Some(self.incarnation)
+    }
+
+    /// Returns whether this daemon leaves reading to `host`, which reads as well.
+    pub(crate) fn yields_to(&self, host: &model::HostName) -> bool {
+        if self.is_steward() {
+            return false;
         }
-        let local = |domain: &model::DomainName| *domain == settings.domain;
-        peers.rank(&settings.host, &settings.domain, now, local) == 0
+        let table = self.table.borrow();
+        let leads = table.as_ref().is_some_and(|(_, table)| table.host == *host);
+        let reads = || self.relay.borrow().is_reading(clock::now(), self.silence());
+        leads || *host < self.settings.host || !reads()
+    }
+
+    /// Returns the number of daemons of the failure domain that were heard of late,
+    /// this one included.
+    pub(crate) fn neighbours(&self) -> u64 {
+        let peers = self.peers.borrow();
+        1 + peers.near(&self.settings.domain, clock::now())
     }
 
     /// Returns for how long the log has answered, in milliseconds.
@@ -256,6 +287,17 @@
     let Ok(Some(message)) = tokio::time::timeout(limit, inbox.recv()).await else {
         return Received::Nothing;
     };
+    take(shared, plan, inbox, from, message).await
+}
+
+/// Takes a message of the reader.
+async fn take(
+    shared: &Shared,
+    plan: &feed::Plan,
+    inbox: &mut Inbox,
+    from: model::Offset,
+    message: Option<Relayed>,
+) -> Received {
     if let Some(relayed) = message {
         return match relayed.step(from) {
             Step::Gap => Received::Behind,
@@ -282,20 +324,17 @@
     plan: &feed::Plan,
     inbox: &mut Inbox,
     from: model::Offset,
-) {
+) -> Received {
     while let Some(message) = inbox.recv().await {
-        let next = match message {
-            Some(relayed) => Some(relayed.next),
-            None => shared.relay.borrow().known(plan.topic),
-        };
-        if next > Some(from) {
-            return;
+        match take(shared, plan, inbox, from, message).await {
+            Received::Nothing => {}
+            received => return received,
         }
     }
     std::future::pending().await
 }
 
-/// Passes records on if this daemon is the reader.
+/// Passes records of an own read on, unless another daemon does.
 pub(crate) fn pass_on(
     shared: &Rc<Shared>,
     topic: Topic,
@@ -304,26 +343,50 @@
     end: model::Offset,
     records: Vec<dialect::Record>,
 ) {
-    if next == from || shared.stopping.get() || !shared.is_reader(clock::now()) {
+    if next == from || shared.stopping.get() || shared.is_relayed() {
         return;
     }
-    let relayed = Relayed::new(topic, from, next, end, records);
+    match messages(topic, from, next, end, records) {
+        Some(messages) => messages
+            .iter()
+            .for_each(|message| peers::tell_domain(shared, message)),
+        // A record is too long for a datagram: the others read it themselves.
+        None => send_progress(shared),
+    }
+}
+
+/// Returns datagrams that carry the records, or `None` if one of them does not fit.
+fn messages(
+    topic: Topic,
+    from: model::Offset,
+    next: model::Offset,
+    end: model::Offset,
+    mut records: Vec<dialect::Record>,
+) -> Option<Vec<Vec<u8>>> {
+    let relayed = Relayed::new(topic, from, next, end, records.clone());
     let message = peers::encode(&peers::Message::Relayed(relayed));
-    match message.len() <= DATAGRAM {
-        true => peers::tell_domain(shared, &message),
-        // Too long for a datagram: the others read it themselves.
-        false => send_progress(shared),
+    if message.len() <= DATAGRAM {
+        return Some(vec![message]);
+    }
+    if records.len() < 2 {
+        return None;
     }
+    let rest = records.split_off(records.len() / 2);
+    let middle = rest[0].offset;
+    let mut first = messages(topic, from, middle, end, records)?;
+    first.extend(messages(topic, middle, next, end, rest)?);
+    Some(first)
 }
 
-/// Tells the failure domain how far this daemon has read, if it is the reader.
+/// Tells the failure domain how far this daemon has read, after an own read and
+/// unless another daemon reads.
 pub(crate) fn announce(shared: &Rc<Shared>) {
-    if !shared.stopping.get() && shared.is_reader(clock::now()) {
+    if !shared.stopping.get() && !shared.is_relayed() {
         send_progress(shared);
     }
 }
 
-/// Tells the failure domain that this daemon reads, after a read of its own.
+/// Does the same for a read from `source`.
 pub(crate) fn progress(shared: &Rc<Shared>, source: feed::Source) {
     if matches!(source, feed::Source::Own(_)) {
         announce(shared);
@@ -335,5 +398,9 @@
         next: shared.relay.borrow().next,
         answering: shared.answering_for(clock::now()),
     };
-    peers::tell_domain(shared, &peers::encode(&peers::Message::Progress(progress)));
+    let host = shared.settings.host.clone();
+    peers::tell_domain(
+        shared,
+        &peers::encode(&peers::Message::Progress(host, progress)),
+    );
 }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -69,6 +69,8 @@
     pub moved: Notify,
     /// Wakes calls that wait for records when the log returns from an outage.
     pub returned: Notify,
+    /// Wakes readers that pause when another daemon reads the log.
+    pub relayed: Notify,
     /// Wakes the steward's loop.
     pub wake_steward: Notify,
     /// Work per key, for the steward.
@@ -118,6 +120,7 @@
             table: RefCell::default(),
             moved: Notify::new(),
             returned: Notify::new(),
+            relayed: Notify::new(),
             wake_steward: Notify::new(),
             demand: RefCell::default(),
             stopping: Cell::default(),
--- a/src/gateway/steward.rs
+++ b/src/gateway/steward.rs
@@ -64,6 +64,8 @@
 /// Delay before a read or append that the log refused or did not answer is
 /// repeated, in milliseconds; refused calls have a price as well.
 const LOG_RETRY: u64 = 500;
+/// Longest such delay of a daemon that is not the steward, in milliseconds.
+const LONGEST_RETRY: u64 = 5_000;
 /// Time between batches of moves, in milliseconds.
 const BATCH: u64 = 1_000;
 /// Time for which keys stay where they were moved, in milliseconds.
@@ -426,7 +428,12 @@
     pub fn on_unread(&mut self, now: clock::Millis) {
         self.log.reading = false;
         self.log.readable = None;
-        self.log.retry = now + LOG_RETRY;
+        // The first in rank takes over, so that calls of the others matter less.
+        let pause = match self.is_steward() {
+            true => LOG_RETRY,
+            false => (LOG_RETRY * (1 + u64::from(self.rank))).min(LONGEST_RETRY),
+        };
+        self.log.retry = now + pause;
     }
 
     /// Takes the answer to an append, `None` if there was none.
