Use a leaving owner of keys by the time of the read before its entry

Cause: an owner of keys that leaves was used for half of the drain bound after its entry was read.

Ruled out: targets without keys; they are no candidates as soon as the entry is read.

Change: the state counts from the start of the read before the one that showed it, and the owner is used for three quarters of the bound from there.

--- a/src/gateway/exchange/choose.rs
+++ b/src/gateway/exchange/choose.rs
@@ -180,13 +180,19 @@
     Ok(Attempt::new(shared, target))
 }
 
+/// Part of the bound of a drain within which a leaving owner of keys is used, in
+/// percent. The rest is for a connection and for the request to arrive.
+const LEAVING: u64 = 75;
+
 /// Returns whether a keyed target may get requests although it leaves: until
 /// shortly before the bound of a drain or of a domain taken out.
 fn may_still_serve(shared: &Shared, target: &registry::Target, now: clock::Millis) -> bool {
-    let bound = shared.settings.bounds.drain.0 / 2;
-    if target.state == dialect::EntryState::Draining && now.since(target.since) > bound {
+    let drain = shared.settings.bounds.drain.0;
+    let leaves = target.state == dialect::EntryState::Draining;
+    if leaves && now.since(target.since) > drain * LEAVING / 100 {
         return false;
     }
+    let bound = drain / 2;
     let taken_out = shared.taken_out.borrow();
     taken_out
         .get(&target.domain)
--- a/src/gateway/feed/readers.rs
+++ b/src/gateway/feed/readers.rs
@@ -18,6 +18,10 @@
 /// listed as ready for a while after its return.
 const SETTLED: u64 = 4_000;
 
+/// Longest time from the start of a read by another daemon to the arrival of what
+/// it passes on, in milliseconds, while the log is not slow.
+const RELAY_AGE: u64 = 100;
+
 pub(super) struct Operator {
     pub(super) shared: Rc<Shared>,
 }
@@ -133,9 +137,14 @@
         }
     }
 
-    fn on_change(&self, before: u64) {
+    fn on_change(&self, before: u64, source: Source) {
+        let now = clock::now();
         let mut registry = self.shared.registry.borrow_mut();
-        registry.sweep(clock::now());
+        registry.sweep(now);
+        registry.set_current(match source {
+            Source::Own(started) => started,
+            Source::Relayed => now - RELAY_AGE,
+        });
         if registry.generation() != before {
             self.shared.wake_steward.notify_one();
         }
@@ -155,7 +164,7 @@
         let mut registry = self.shared.registry.borrow_mut();
         registry.replace(clock::now(), entries);
         drop(registry);
-        self.on_change(before);
+        self.on_change(before, source);
     }
 
     fn apply(&mut self, batch: dialect::Batch, source: Source) -> Vec<dialect::Record> {
@@ -177,7 +186,7 @@
             }
             record.value.is_none() || self.shared.registry.borrow().generation() != known
         });
-        self.on_change(before);
+        self.on_change(before, source);
         relay::progress(&self.shared, source);
         last
     }
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -45,20 +45,25 @@
     pub state: dialect::EntryState,
     /// End of the time for which it is cold, or 0 if its entry says that it is warm.
     pub cold_until: clock::Millis,
-    /// Time at which its present life and state became known, or at which it was
-    /// removed.
+    /// Earliest time at which its present life and state may have been listed, or
+    /// time at which it was removed.
     pub since: clock::Millis,
 }
 
 impl Target {
-    fn new(now: clock::Millis, entry: dialect::Entry, known: Option<&Self>) -> Self {
+    fn new(
+        now: clock::Millis,
+        listed: clock::Millis,
+        entry: dialect::Entry,
+        known: Option<&Self>,
+    ) -> Self {
         let same = known.filter(|old| old.birth == entry.birth && old.state == entry.state);
         let cold_until = match entry.warmup {
             0 => clock::Millis(0),
             warmup => clock::Millis(now.0.saturating_add(warmup)),
         };
         Self {
-            since: same.map_or(now, |old| old.since),
+            since: same.map_or(listed, |old| old.since),
             name: entry.name,
             birth: entry.birth,
             sequence: entry.sequence,
@@ -143,6 +148,8 @@
     delayed: BTreeSet<model::TargetName>,
     gone: BTreeMap<model::TargetName, Rc<Target>>,
     log: Log,
+    /// Time up to which changes of the list are known.
+    current: Option<clock::Millis>,
     generation: u64,
 }
 
@@ -162,7 +169,8 @@
         }
         self.delayed.remove(&entry.name);
         let known = self.known.get(&entry.name);
-        let target = Target::new(now, entry, known.map(Rc::as_ref));
+        let listed = self.current.unwrap_or(now);
+        let target = Target::new(now, listed, entry, known.map(Rc::as_ref));
         let moved = known.is_none_or(|old| old.address != target.address);
         if moved && !self.claim(now, &target) {
             self.discard(now, &target.name);
@@ -201,6 +209,11 @@
         }
     }
 
+    /// Notes that all changes of the list up to `at` have been taken in.
+    pub fn set_current(&mut self, at: clock::Millis) {
+        self.current = self.current.max(Some(at));
+    }
+
     /// Notes whether the log fails to answer.
     pub fn set_outage(&mut self, now: clock::Millis, out: bool) {
         self.log = match (self.log, out) {
--- a/tests/gateway_registry.rs
+++ b/tests/gateway_registry.rs
@@ -587,3 +587,18 @@
         }
     }
 }
+
+/// Guards against a leaving target that is used for too long because its entry was
+/// read late (grown skyfuel, trouble-1: 3,208 ms after the entry, bound 3,000 ms).
+#[test]
+fn apply_draining_since_read_before() {
+    let mut registry = registry();
+    registry.set_current(Millis(1_000));
+    registry.apply(Millis(2_500), draining(entry("t0", 5, 6)));
+    let target = registry.get(&"t0".into()).expect("a usable target");
+    assert_eq!(target.since, Millis(1_000));
+    registry.set_current(Millis(2_500));
+    registry.apply(Millis(3_700), draining(entry("t0", 5, 7)));
+    let target = registry.get(&"t0".into()).expect("a usable target");
+    assert_eq!(target.since, Millis(1_000), "the same state");
+}
