Give long answers of the log time as long as parts keep coming

Cause: a call to the log had to be answered whole within 1 s.

Ruled out: parsing; daemons in the region of the log had the version in time.

Change: the head has to come within the limit, each further part within 1 s, all of it within 15 s more. Before: configuration_in_slow_parts fails (no configuration within 10 s). After: it passes in 1.6 s.

--- a/src/gateway/client.rs
+++ b/src/gateway/client.rs
@@ -64,6 +64,24 @@
     }
 }
 
+/// Times within which an answer has to come.
+#[derive(Clone, Copy, Debug)]
+pub struct Patience {
+    /// Time until its head.
+    pub head: Duration,
+    /// Time until each further part. A long answer may take any number of these
+    /// on a slow link.
+    pub part: Duration,
+}
+
+impl Patience {
+    /// Waits for as long as the caller does.
+    const ENDLESS: Self = Self {
+        head: Duration::MAX,
+        part: Duration::MAX,
+    };
+}
+
 /// Body of an answer.
 pub enum Body {
     /// All of it.
@@ -137,19 +155,28 @@
         connect: Duration,
         keep: impl Fn(&http::HeaderMap) -> bool,
     ) -> Result<http::Response<Body>, Failure> {
+        let done = self.reach(peer, request, connect, Patience::ENDLESS);
+        Ok(self.settle(peer, done.await?, keep))
+    }
+
+    async fn reach(
+        &self,
+        peer: Peer,
+        request: http::Request<Bytes>,
+        connect: Duration,
+        patience: Patience,
+    ) -> Result<Done, Failure> {
         let mut request = request.map(Full::new);
         while let Some(connection) = self.take(peer) {
-            match Self::exchange(connection, request).await {
-                Ok(done) => return Ok(self.settle(peer, done, keep)),
+            match Self::exchange(connection, request, patience).await {
+                Ok(done) => return Ok(done),
                 Err((failure, None)) => return Err(failure),
                 Err((_, Some(unsent))) => request = unsent,
             }
         }
         let connection = open(peer.address, connect).await?;
-        match Self::exchange(connection, request).await {
-            Ok(done) => Ok(self.settle(peer, done, keep)),
-            Err((failure, _)) => Err(failure),
-        }
+        let done = Self::exchange(connection, request, patience).await;
+        done.map_err(|(failure, _)| failure)
     }
 
     /// Sends a request and reads its answer whole.
@@ -162,13 +189,28 @@
         request: http::Request<Bytes>,
         connect: Duration,
     ) -> Result<http::Response<Bytes>, Failure> {
-        let response = self.send(peer, request, connect, |_| true).await?;
+        self.fetch(peer, request, connect, Patience::ENDLESS).await
+    }
+
+    /// Does the same, but gives up an answer that does not come within `patience`.
+    ///
+    /// # Errors
+    /// Says whether the request may have reached the peer.
+    pub async fn fetch(
+        &self,
+        peer: Peer,
+        request: http::Request<Bytes>,
+        connect: Duration,
+        patience: Patience,
+    ) -> Result<http::Response<Bytes>, Failure> {
+        let done = self.reach(peer, request, connect, patience).await?;
+        let response = self.settle(peer, done, |_| true);
         let (parts, body) = response.into_parts();
         let bytes = match body {
             Body::Whole(bytes) => bytes,
             Body::Partial(first, mut rest) => {
                 let mut all = bytes::BytesMut::from(&first[..]);
-                while let Some(part) = rest.next().await {
+                while let Some(part) = within(patience.part, rest.next()).await? {
                     all.extend_from_slice(&part?);
                 }
                 all.freeze()
@@ -200,10 +242,13 @@
     async fn exchange(
         mut connection: Connection,
         request: http::Request<Full<Bytes>>,
+        patience: Patience,
     ) -> Result<Done, (Failure, Option<http::Request<Full<Bytes>>>)> {
-        let response = match connection.sender.try_send_request(request).await {
-            Ok(response) => response,
-            Err(mut error) => {
+        let response = connection.sender.try_send_request(request);
+        let response = match within(patience.head, response).await {
+            Ok(Ok(response)) => response,
+            Err(failure) => return Err((failure, None)),
+            Ok(Err(mut error)) => {
                 let unsent = error.take_message();
                 let failure = match unsent {
                     Some(_) => Failure::Unreachable,
@@ -214,7 +259,11 @@
         };
         let (parts, mut incoming) = response.into_parts();
         let mut bytes = bytes::BytesMut::new();
-        while let Some(frame) = incoming.frame().await {
+        loop {
+            let frame = within(patience.part, incoming.frame()).await;
+            let Some(frame) = frame.map_err(|failure| (failure, None))? else {
+                break;
+            };
             let frame = frame.map_err(|_| (Failure::Broken, None))?;
             if let Ok(data) = frame.into_data() {
                 bytes.extend_from_slice(&data);
@@ -261,6 +310,15 @@
 
 type Done = (http::Response<Body>, Option<Connection>);
 
+/// Waits for a part of an answer for as long as `limit`.
+async fn within<T>(limit: Duration, part: impl Future<Output = T>) -> Result<T, Failure> {
+    if limit == Duration::MAX {
+        return Ok(part.await);
+    }
+    let part = tokio::time::timeout(limit, part).await;
+    part.map_err(|_| Failure::Broken)
+}
+
 /// Returns how long a connection may be used after an answer, in milliseconds.
 fn idle_time(headers: &http::HeaderMap) -> u64 {
     let named = headers
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -28,9 +28,15 @@
 /// log drops old ones, so that this bounds how late a configuration may come.
 const OPERATOR_WAIT: u64 = 1_000;
 
-/// Time for an answer of the log beside the time that a read waits, in milliseconds.
+/// Time for the head of an answer of the log beside the time that a read waits, and
+/// for each further part of it, in milliseconds.
 const ANSWER: u64 = 1_000;
 
+/// Time for a whole answer of the log beside the time that a read waits, in
+/// milliseconds. A configuration of a megabyte that all daemons of a region read at
+/// once takes several seconds on a link between regions.
+const WHOLE_ANSWER: u64 = 15_000;
+
 /// Time for a connection to the log.
 const CONNECT: Duration = Duration::from_millis(500);
 
@@ -61,7 +67,7 @@
     Answer(#[from] dialect::ReadError),
 }
 
-/// Sends a call to the log.
+/// Sends a call to the log, whose answer has to begin within `limit` milliseconds.
 pub(crate) async fn call(
     shared: &Shared,
     request: http::Request<bytes::Bytes>,
@@ -72,10 +78,14 @@
         address: shared.settings.log,
         birth: 0,
     };
-    let answer = shared
-        .client
-        .call(peer, with_host(shared, request), CONNECT);
-    let answer = tokio::time::timeout(Duration::from_millis(limit), answer).await;
+    let patience = client::Patience {
+        head: Duration::from_millis(limit),
+        part: Duration::from_millis(ANSWER),
+    };
+    let request = with_host(shared, request);
+    let answer = shared.client.fetch(peer, request, CONNECT, patience);
+    let limit = Duration::from_millis(limit + WHOLE_ANSWER);
+    let answer = tokio::time::timeout(limit, answer).await;
     match answer {
         Ok(Ok(answer)) => Ok(answer),
         _ => {
