Move the questions to all daemons from admin to peer

burn::report took its answers from admin::fleet, and admin serves the burn report, so that the two modules imported each other. fleet now stands in peer, below both, and takes the state and this daemon's incarnation in place of what all threads share. A confirmation asks the daemons of the state that its own answer was computed from; it read the published state twice before.

--- a/src/admin.rs
+++ b/src/admin.rs
@@ -3,7 +3,6 @@
 
 pub mod confirm;
 pub mod explain;
-pub mod fleet;
 pub mod guard;
 pub mod intent;
 pub mod requests;
@@ -20,7 +19,7 @@
 use crate::clock;
 use crate::daemon;
 use crate::model;
-use crate::peer;
+use crate::peer::{self, fleet};
 use crate::server;
 use crate::state;
 
@@ -188,7 +187,8 @@
 }
 
 fn burn(shared: &daemon::Shared) -> burn::report::Report {
-    let answers = fleet::ask(shared, "/peer/burn", counts(shared));
+    let state = shared.journal.state();
+    let answers = fleet::ask(&state, shared.me, "/peer/burn", counts(shared));
     burn::report::merge(&shared.journal.state().config, answers)
 }
 
--- a/src/admin/confirm.rs
+++ b/src/admin/confirm.rs
@@ -7,11 +7,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::admin::{fleet, guard};
+use crate::admin::guard;
 use crate::daemon;
 use crate::journal;
 use crate::model;
-use crate::peer;
+use crate::peer::{self, fleet};
 use crate::state;
 
 /// Longest wait for the log's decision on a confirmed plan.
@@ -130,7 +130,7 @@
         from: shared.me,
         next: shared.running.oldest(state.next),
     };
-    let answers = fleet::ask(shared, "/peer/offset", own);
+    let answers = fleet::ask(&state, shared.me, "/peer/offset", own);
     guard::behind(&state, needed, &answers)
 }
 
--- a/src/admin/guard.rs
+++ b/src/admin/guard.rs
@@ -10,9 +10,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::admin::fleet;
 use crate::model;
-use crate::peer;
+use crate::peer::{self, fleet};
 use crate::state;
 
 /// An object whose last change every up daemon must have read.
--- a/src/admin/status.rs
+++ b/src/admin/status.rs
@@ -2,9 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::admin::fleet;
 use crate::daemon;
 use crate::model;
+use crate::peer::fleet;
 
 /// Short account of a daemon.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -85,5 +85,10 @@
 
 /// Returns the accounts of all daemons.
 pub fn all(shared: &daemon::Shared) -> fleet::Answers<Status> {
-    fleet::ask(shared, "/peer/status", status(shared))
+    fleet::ask(
+        &shared.journal.state(),
+        shared.me,
+        "/peer/status",
+        status(shared),
+    )
 }
--- a/src/burn/report.rs
+++ b/src/burn/report.rs
@@ -5,9 +5,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::admin::fleet;
 use crate::burn::{self, Counts, Series};
 use crate::model;
+use crate::peer::fleet;
 use crate::state;
 
 /// Longest window that fine buckets cover, in milliseconds.
--- a/src/cmd/plan.rs
+++ b/src/cmd/plan.rs
@@ -5,9 +5,10 @@
 
 use serde::Serialize;
 
-use crate::admin::{fleet, guard, intent, status};
+use crate::admin::{guard, intent, status};
 use crate::cmd;
 use crate::model;
+use crate::peer::fleet;
 use crate::state;
 
 /// Who plans, and why.
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -2,8 +2,9 @@
 
 use std::net::SocketAddr;
 
-use crate::admin::{fleet, status};
+use crate::admin::status;
 use crate::cmd::{self, output};
+use crate::peer::fleet;
 
 /// Prints the status of the daemon whose admin port is `admin`, or with `all`
 /// of every daemon of its state.
--- a/src/admin/fleet.rs
+++ b/src/peer/fleet.rs
@@ -7,7 +7,6 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-use crate::daemon;
 use crate::model;
 use crate::peer;
 use crate::state;
@@ -46,14 +45,14 @@
     pub silent: Vec<Silent>,
 }
 
-/// Asks every up daemon of the state for `path`; `own` is this daemon's answer.
-pub fn ask<T>(shared: &daemon::Shared, path: &str, own: T) -> Answers<T>
+/// Asks every up daemon of the state for `path`; `own` is the answer of this
+/// daemon, `me`.
+pub fn ask<T>(state: &state::State, me: model::Incarnation, path: &str, own: T) -> Answers<T>
 where
     T: DeserializeOwned + Send,
 {
-    let state = shared.journal.state();
     let up = state.hosts.iter().filter(|(_, host)| host.gone.is_none());
-    let others: Vec<_> = up.filter(|(id, _)| **id != shared.me).collect();
+    let others: Vec<_> = up.filter(|(id, _)| **id != me).collect();
     let agent = agent();
     let end = Instant::now() + ROUND;
     let next = AtomicUsize::new(0);
@@ -72,7 +71,7 @@
             scope.spawn(run);
         }
     });
-    let mut answers = vec![(shared.me, own)];
+    let mut answers = vec![(me, own)];
     let mut silent = Vec::new();
     let mut results = results.into_inner();
     results.sort_by_key(|(id, _, _)| *id);
--- a/tests/burn.rs
+++ b/tests/burn.rs
@@ -1,6 +1,6 @@
 //! Counts of good and total requests, burn rates and the page.
 
-use pistachiomoor::admin::fleet;
+use pistachiomoor::peer::fleet;
 use pistachiomoor::{burn, clock, state};
 
 const MINUTE: u64 = 60_000;
--- a/tests/plans_history.rs
+++ b/tests/plans_history.rs
@@ -1,8 +1,9 @@
 //! What stands behind confirmations and their history.
 
-use pistachiomoor::admin::{self, fleet, guard};
+use pistachiomoor::admin::{self, guard};
 use pistachiomoor::cmd::{history, watch};
 use pistachiomoor::daemon::running;
+use pistachiomoor::peer::fleet;
 use pistachiomoor::{journal, model, peer, route, state};
 
 fn record(offset: u64, changes: serde_json::Value) -> journal::Stored {
