Give tables without threads of the daemon a module of their own

load, running and detour of daemon, requests of admin, the seats of daemon::retry and the timer of daemon::race are shared by threads and decide nothing about leases or requests by themselves. They are now in the module tables, below daemon, admin and burn. daemon::retry holds pure decisions only, and admin no longer owns a table that daemon fills.

The refusal of a request whose lease is elsewhere, which stood beside the detours, is now with the holder's side of a request, its only caller. Tests change in their import paths only.

--- a/src/admin.rs
+++ b/src/admin.rs
@@ -5,7 +5,6 @@
 pub mod explain;
 pub mod guard;
 pub mod intent;
-pub mod requests;
 pub mod status;
 
 pub use confirm::Confirmation;
@@ -22,6 +21,7 @@
 use crate::peer::{self, fleet};
 use crate::server;
 use crate::state;
+use crate::tables::requests;
 
 /// Entries of recent requests that are listed without an identifier.
 const LISTED: usize = 50;
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -3,8 +3,9 @@
 use std::net::SocketAddr;
 
 use crate::admin::confirm::Origin;
-use crate::admin::{explain, requests};
+use crate::admin::explain;
 use crate::cmd::{self, output};
+use crate::tables::requests;
 
 /// What to explain.
 #[derive(Clone, Debug)]
--- a/src/daemon/attempt.rs
+++ b/src/daemon/attempt.rs
@@ -5,9 +5,7 @@
 
 use http::{HeaderName, HeaderValue};
 
-use crate::admin::requests;
 use crate::clock;
-use crate::daemon::detour;
 use crate::daemon::header;
 use crate::daemon::hold;
 use crate::daemon::recall;
@@ -17,6 +15,7 @@
 use crate::model;
 use crate::route;
 use crate::server;
+use crate::tables::{detour, requests};
 use crate::token;
 
 /// Time by which the wait for another daemon's answer exceeds the deadline,
--- a/src/daemon/balancer.rs
+++ b/src/daemon/balancer.rs
@@ -12,6 +12,7 @@
 use crate::model;
 use crate::placement;
 use crate::state;
+use crate::tables::load;
 
 /// Length of a window of load, and pause between two rounds.
 const WINDOW: Duration = Duration::from_secs(5);
@@ -190,7 +191,7 @@
 fn pin_records(
     state: &state::State,
     group: &model::GroupId,
-    rates: &crate::daemon::load::Rates,
+    rates: &load::Rates,
     owner: &model::TargetName,
     lease: model::Offset,
 ) -> Vec<state::Body> {
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use crate::admin::requests;
 use crate::clock;
 use crate::daemon::attempt::Call;
 use crate::daemon::header;
@@ -17,6 +16,7 @@
 use crate::route;
 use crate::server;
 use crate::state;
+use crate::tables::{requests, seats};
 
 /// What a request went through so far.
 #[derive(Default)]
@@ -27,7 +27,7 @@
     /// Extra attempts of a keyed service.
     again: u32,
     /// Kept from the first wait on.
-    seat: Option<retry::Seat<'a>>,
+    seat: Option<seats::Seat<'a>>,
     /// What the last attempt that may have run ended with.
     unknown: Option<server::Refusal>,
 }
--- a/src/daemon/hedge.rs
+++ b/src/daemon/hedge.rs
@@ -19,6 +19,7 @@
 use crate::model;
 use crate::route;
 use crate::server;
+use crate::tables::timer;
 use crate::token;
 
 /// Threads for second attempts.
@@ -32,7 +33,7 @@
 
 /// Timer and pool for second attempts.
 pub struct Hedges {
-    timer: Arc<race::Timer>,
+    timer: Arc<timer::Timer>,
     sender: channel::Sender<Option<Job>>,
     receiver: channel::Receiver<Option<Job>>,
 }
--- a/src/daemon/hold.rs
+++ b/src/daemon/hold.rs
@@ -368,6 +368,25 @@
     }
 }
 
+impl Shared {
+    /// Returns the refusal of a request for a target whose lease this daemon
+    /// does not hold. It names the other daemon that may hold it.
+    fn moved(&self, target: &model::TargetName) -> server::Refusal {
+        let detail = format!("this daemon does not hold the lease on {target}");
+        let refusal = server::Refusal::not_run(server::Reason::Moved, detail);
+        let state = self.journal.state();
+        let lease = state.leases.get(target);
+        let other = lease.and_then(|lease| match lease.backup {
+            Some(backup) if backup != self.me => Some(backup),
+            _ => Some(lease.holder).filter(|holder| *holder != self.me),
+        });
+        match other.and_then(|other| state.hosts.get(&other)) {
+            Some(host) => refusal.at(format!("http://{}", host.peer)),
+            None => refusal,
+        }
+    }
+}
+
 /// Frees or keeps the slot of a request without an answer, has the target
 /// checked if the failure says something about it, and returns the refusal.
 fn failed(failure: &forward::Failure, held: Held) -> server::Refusal {
--- a/src/daemon/keeper.rs
+++ b/src/daemon/keeper.rs
@@ -11,10 +11,10 @@
 use parking_lot::{Condvar, Mutex};
 
 use crate::clock;
-use crate::daemon::load;
 use crate::daemon::shared::Shared;
 use crate::model;
 use crate::state;
+use crate::tables::load;
 use crate::target::{admission, cancel, control, grants, wire};
 use crate::token;
 
--- a/src/daemon/recall.rs
+++ b/src/daemon/recall.rs
@@ -4,11 +4,11 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use crate::admin::requests;
 use crate::clock;
 use crate::daemon::shared::Shared;
 use crate::server;
 use crate::state;
+use crate::tables::requests;
 
 /// Result of a caller's request or of one attempt.
 type Answered = Result<server::Response, server::Refusal>;
--- a/src/daemon/shared.rs
+++ b/src/daemon/shared.rs
@@ -6,14 +6,10 @@
 
 use parking_lot::{Mutex, RwLock};
 
-use crate::admin;
 use crate::burn;
 use crate::clock;
-use crate::daemon::detour;
 use crate::daemon::hedge;
 use crate::daemon::keeper;
-use crate::daemon::retry;
-use crate::daemon::running;
 use crate::forward;
 use crate::journal;
 use crate::lease;
@@ -24,6 +20,7 @@
 use crate::route;
 use crate::settings;
 use crate::state;
+use crate::tables::{detour, requests, running, seats};
 use crate::target;
 use crate::token;
 
@@ -118,7 +115,7 @@
     /// Answer times of shared services.
     pub delays: RwLock<HashMap<model::ServiceName, Arc<route::hedge::Delay>>>,
     /// Bounds the callers' requests that wait for a newer state.
-    pub seats: retry::Seats,
+    pub seats: seats::Seats,
     /// Targets whose requests go to the recorded backup.
     pub detours: detour::Detours,
     /// Socket for heartbeats, once it is open.
@@ -130,7 +127,7 @@
     /// Set when the daemon shuts down in order.
     pub leaving: AtomicBool,
     /// Recent requests that are worth a look.
-    pub recent: admin::requests::Ring,
+    pub recent: requests::Ring,
     /// Good and total requests of each service.
     pub burn: burn::Table,
     /// Knowledge that running requests were admitted with.
@@ -160,13 +157,13 @@
             budget: route::budget::Budget::new(settings.policy.extra_percent, clock::now()),
             hedges: hedge::Hedges::default(),
             delays: RwLock::default(),
-            seats: retry::Seats::half_of(settings.limits.workers),
+            seats: seats::Seats::half_of(settings.limits.workers),
             detours: detour::Detours::default(),
             datagrams: OnceLock::new(),
             metrics: metrics::Metrics::default(),
             token,
             leaving: AtomicBool::new(false),
-            recent: admin::requests::Ring::default(),
+            recent: requests::Ring::default(),
             burn: burn::Table::new(clock::now()),
             running: running::Running::default(),
             view: RwLock::new(Arc::new(view)),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,5 +23,6 @@
 pub mod server;
 pub mod settings;
 pub mod state;
+pub mod tables;
 pub mod target;
 pub mod token;
--- /dev/null
+++ b/src/tables.rs
@@ -0,0 +1,8 @@
+//! Tables that the threads of a daemon share.
+
+pub mod detour;
+pub mod load;
+pub mod requests;
+pub mod running;
+pub mod seats;
+pub mod timer;
--- /dev/null
+++ b/src/tables/seats.rs
@@ -0,0 +1,39 @@
+//! How many requests may wait for a newer state.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+/// Bounds the requests that wait for a newer state, so that they leave
+/// workers for the others.
+#[derive(Debug)]
+pub struct Seats {
+    limit: usize,
+    taken: AtomicUsize,
+}
+
+impl Seats {
+    /// Returns seats for half of `workers`, at least one.
+    pub fn half_of(workers: usize) -> Self {
+        Self {
+            limit: (workers / 2).max(1),
+            taken: AtomicUsize::new(0),
+        }
+    }
+
+    /// Takes a seat until the result is dropped, or returns `None` if all are taken.
+    pub fn take(&self) -> Option<Seat<'_>> {
+        let more = |taken| (taken < self.limit).then_some(taken + 1);
+        let taken = &self.taken;
+        let taken = taken.fetch_update(Ordering::Relaxed, Ordering::Relaxed, more);
+        taken.ok().map(|_| Seat(self))
+    }
+}
+
+/// A request that waits.
+#[derive(Debug)]
+pub struct Seat<'a>(&'a Seats);
+
+impl Drop for Seat<'_> {
+    fn drop(&mut self) {
+        self.0.taken.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- a/tests/daemon_load.rs
+++ b/tests/daemon_load.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use pistachiomoor::clock::Millis;
-use pistachiomoor::daemon::load::Load;
 use pistachiomoor::model;
+use pistachiomoor::tables::load::Load;
 use serde_json::json;
 
 fn group() -> Arc<model::GroupId> {
--- a/tests/daemon_race.rs
+++ b/tests/daemon_race.rs
@@ -4,8 +4,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use pistachiomoor::daemon::race::{Other, Race, Timer};
+use pistachiomoor::daemon::race::{Other, Race};
 use pistachiomoor::forward::Abort;
+use pistachiomoor::tables::timer::Timer;
 
 fn race() -> (Race<&'static str>, [Abort; 2]) {
     let aborts = [Abort::new(), Abort::new()];
--- a/tests/daemon_retry.rs
+++ b/tests/daemon_retry.rs
@@ -3,6 +3,7 @@
 use pistachiomoor::daemon::retry::{self, Next, Situation};
 use pistachiomoor::forward::Outcome::{self, NotRun, Unknown};
 use pistachiomoor::server::Reason;
+use pistachiomoor::tables::seats;
 
 const AGAIN: Next = Next::Again(2);
 const WAIT: Next = Next::Wait { least: 2, most: 50 };
@@ -227,11 +228,11 @@
 /// Guards against waiting requests that take all workers.
 #[test]
 fn take_leaves_half_of_workers() {
-    let seats = retry::Seats::half_of(5);
+    let seats = seats::Seats::half_of(5);
     let taken = [seats.take(), seats.take()];
     assert!(taken.iter().all(Option::is_some));
     assert!(seats.take().is_none());
     drop(taken);
     assert!(seats.take().is_some());
-    assert!(retry::Seats::half_of(1).take().is_some());
+    assert!(seats::Seats::half_of(1).take().is_some());
 }
--- a/tests/plans_history.rs
+++ b/tests/plans_history.rs
@@ -2,8 +2,8 @@
 
 use pistachiomoor::admin::{self, guard};
 use pistachiomoor::cmd::{history, watch};
-use pistachiomoor::daemon::running;
 use pistachiomoor::peer::fleet;
+use pistachiomoor::tables::{requests, running};
 use pistachiomoor::{journal, model, peer, route, state};
 
 fn record(offset: u64, changes: serde_json::Value) -> journal::Stored {
@@ -176,12 +176,12 @@
 /// ordinary requests push out the ones worth a look.
 #[test]
 fn ring_bounded() {
-    let ring = admin::requests::Ring::default();
+    let ring = requests::Ring::default();
     let sampled = (0..1_000).filter(|_| ring.wants(false)).count();
     assert_eq!(sampled, 10);
     assert!(ring.wants(true));
     for number in 0..3_000 {
-        let entry = admin::requests::Entry {
+        let entry = requests::Entry {
             id: number.to_string(),
             service: String::new(),
             method: "GET".to_owned(),
@@ -194,7 +194,7 @@
             attempts: Vec::new(),
             next: model::Offset(1),
         };
-        ring.add(entry, admin::requests::Trace::default());
+        ring.add(entry, requests::Trace::default());
     }
     assert_eq!(ring.newest(usize::MAX).len(), 2_000);
     assert!(ring.find("999").is_none() && ring.find("1000").is_some());
