Split the keeper into a table and the threads that work on it

A keeper held what all threads share, which holds the keepers: the table could not be moved below the daemon. tables::keeper::Keeper now holds only what is known of one target and the flags of its renewals; daemon::keeper has a Worker with the keeper and the shared parts, which renews grants and moves shards away. Cancellations go through the shared queue.

--- a/src/daemon/balancer.rs
+++ b/src/daemon/balancer.rs
@@ -12,7 +12,7 @@
 use crate::model;
 use crate::placement;
 use crate::state;
-use crate::tables::load;
+use crate::tables::{self, load};
 
 /// Length of a window of load, and pause between two rounds.
 const WINDOW: Duration = Duration::from_secs(5);
@@ -59,7 +59,7 @@
     }
 
     /// Moves shards to targets that have joined.
-    fn fill(self: &Arc<Self>, keepers: &[Arc<keeper::Keeper>]) {
+    fn fill(self: &Arc<Self>, keepers: &[Arc<tables::keeper::Keeper>]) {
         let kept = |transfer: &placement::Transfer| {
             let mut keepers = keepers.iter();
             keepers.any(|keeper| keeper.target == transfer.from)
@@ -77,7 +77,7 @@
     }
 
     /// Moves shards away from targets that have too much load.
-    fn rebalance(self: &Arc<Self>, keepers: &[Arc<keeper::Keeper>]) {
+    fn rebalance(self: &Arc<Self>, keepers: &[Arc<tables::keeper::Keeper>]) {
         let transfers = self.plan_served(|state| self.shifts(state, keepers));
         self.carry_out(keepers, transfers);
     }
@@ -85,7 +85,7 @@
     fn shifts(
         &self,
         state: &state::State,
-        keepers: &[Arc<keeper::Keeper>],
+        keepers: &[Arc<tables::keeper::Keeper>],
     ) -> Vec<placement::Transfer> {
         let mut transfers = Vec::new();
         for keeper in keepers {
@@ -136,7 +136,7 @@
 
     fn carry_out(
         self: &Arc<Self>,
-        keepers: &[Arc<keeper::Keeper>],
+        keepers: &[Arc<tables::keeper::Keeper>],
         transfers: Vec<placement::Transfer>,
     ) {
         for transfer in placement::batches(&transfers, BATCH) {
@@ -153,7 +153,8 @@
             );
             // Requests that run on the shards are not worth waiting for here;
             // the next round tries again.
-            keeper.transfer(transfer, true);
+            let worker = keeper::Worker::new(self.clone(), keeper.clone());
+            worker.transfer(transfer, true);
             if self.token.wait_timeout(PACE) {
                 return;
             }
@@ -161,7 +162,7 @@
     }
 
     /// Gives hot keys shards of their own, and takes those of keys that are cold again.
-    fn pin(self: &Arc<Self>, keepers: &[Arc<keeper::Keeper>]) {
+    fn pin(self: &Arc<Self>, keepers: &[Arc<tables::keeper::Keeper>]) {
         let state = self.journal.state();
         let mut bodies = Vec::new();
         for keeper in keepers.iter().filter(|keeper| !keeper.is_moving()) {
--- a/src/daemon/hold.rs
+++ b/src/daemon/hold.rs
@@ -9,12 +9,12 @@
 
 use crate::clock;
 use crate::daemon::header;
-use crate::daemon::keeper;
 use crate::daemon::shared::Shared;
 use crate::forward;
 use crate::model;
 use crate::route;
 use crate::server;
+use crate::tables::keeper;
 use crate::target;
 use crate::target::admission;
 use crate::token;
@@ -52,6 +52,7 @@
 
 /// A request that a target may be running.
 struct Held {
+    shared: Arc<Shared>,
     permit: admission::Permit,
     keeper: Arc<keeper::Keeper>,
     id: Arc<str>,
@@ -69,7 +70,7 @@
     fn give_up(self) {
         let until = clock::now().max(self.deadline) + SETTLE;
         let unsettled = self.permit.give_up(until);
-        self.keeper.cancel(&self.id, Some(unsettled));
+        self.shared.cancel(&self.keeper, &self.id, Some(unsettled));
     }
 }
 
@@ -228,6 +229,7 @@
             }
         };
         let held = Held {
+            shared: self.clone(),
             permit,
             keeper: keeper.clone(),
             id: order.id.into(),
--- a/src/daemon/shared.rs
+++ b/src/daemon/shared.rs
@@ -9,7 +9,6 @@
 use crate::burn;
 use crate::clock;
 use crate::daemon::hedge;
-use crate::daemon::keeper;
 use crate::forward;
 use crate::journal;
 use crate::lease;
@@ -20,7 +19,7 @@
 use crate::route;
 use crate::settings;
 use crate::state;
-use crate::tables::{detour, requests, running, seats};
+use crate::tables::{detour, keeper, requests, running, seats};
 use crate::target;
 use crate::token;
 
--- a/src/daemon/steward.rs
+++ b/src/daemon/steward.rs
@@ -13,6 +13,7 @@
 use crate::model;
 use crate::peer;
 use crate::state;
+use crate::tables;
 
 /// Pause between two looks at silent holders and backups.
 const LOOK: Duration = Duration::from_millis(20);
@@ -129,18 +130,26 @@
                 continue;
             };
             if let hash_map::Entry::Vacant(entry) = keepers.entry(target) {
-                let keeper = keeper::Keeper::new(self.clone(), config, fence, chain);
+                let keeper = tables::keeper::Keeper::new(
+                    config,
+                    self.settings.policy.target_queue,
+                    self.token.child(),
+                    fence,
+                    chain,
+                );
                 entry.insert(keeper.clone());
                 started.push(keeper);
             }
         }
         let all: Vec<_> = keepers.values().cloned().collect();
         drop(keepers);
-        for keeper in started {
-            std::thread::spawn(move || keeper.run());
+        let worker = |keeper| keeper::Worker::new(self.clone(), keeper);
+        for worker in started.into_iter().map(worker) {
+            std::thread::spawn(move || worker.run());
         }
         for keeper in all {
-            keeper.follow(state, changed.contains(&keeper.target));
+            let changed = changed.contains(&keeper.target);
+            worker(keeper).follow(state, changed);
         }
     }
 
--- a/src/tables.rs
+++ b/src/tables.rs
@@ -1,6 +1,7 @@
 //! Tables that the threads of a daemon share.
 
 pub mod detour;
+pub mod keeper;
 pub mod load;
 pub mod requests;
 pub mod running;
