Put the shared tables into the module tables, below daemon, admin and burn

admin and burn took what all threads share from daemon, and daemon starts admin: the three were in one circle of imports. Shared and View are now in tables, with the pool of second attempts and the counts for the burn report; the attempts themselves stay with daemon. The module's page states who changes which table, what lives for a request, a connection, a version, a lease and the process, and the lock order.

Imports now go from daemon to admin to burn to tables, and none back. The daemon's work stays in methods of Shared, in the files where it was.

--- a/src/admin.rs
+++ b/src/admin.rs
@@ -16,12 +16,11 @@
 
 use crate::burn;
 use crate::clock;
-use crate::daemon;
 use crate::model;
 use crate::peer::{self, fleet};
 use crate::server;
 use crate::state;
-use crate::tables::requests;
+use crate::tables::{self, requests};
 
 /// Entries of recent requests that are listed without an identifier.
 const LISTED: usize = 50;
@@ -48,7 +47,7 @@
 }
 
 /// Answers a request on the admin port.
-pub fn serve(shared: &Arc<daemon::Shared>, mut request: server::Request) -> server::Response {
+pub fn serve(shared: &Arc<tables::Shared>, mut request: server::Request) -> server::Response {
     let path = request.path().to_owned();
     let query = request.query().unwrap_or_default().to_owned();
     match (request.method.as_str(), path.as_str()) {
@@ -68,7 +67,7 @@
 }
 
 /// Answers another daemon that gathers the answers of all.
-pub fn serve_peer(shared: &daemon::Shared, request: &server::Request) -> server::Response {
+pub fn serve_peer(shared: &tables::Shared, request: &server::Request) -> server::Response {
     let query = request.query().unwrap_or_default();
     let encoded = match request.path() {
         "/peer/status" => peer::encode(&status::status(shared)),
@@ -100,14 +99,14 @@
     }
 }
 
-fn ready(shared: &daemon::Shared) -> server::Response {
+fn ready(shared: &tables::Shared) -> server::Response {
     match shared.is_ready() {
         true => text(http::StatusCode::OK, "ready\n"),
         false => text(http::StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
     }
 }
 
-fn state_bytes(shared: &daemon::Shared) -> server::Response {
+fn state_bytes(shared: &tables::Shared) -> server::Response {
     if !shared.journal.is_usable() {
         return text(
             http::StatusCode::SERVICE_UNAVAILABLE,
@@ -118,7 +117,7 @@
     server::Response::whole(http::StatusCode::OK, bytes)
 }
 
-fn owned(shared: &daemon::Shared) -> Owned {
+fn owned(shared: &tables::Shared) -> Owned {
     let state = shared.journal.state();
     let targets = state.config.targets.values().map(|target| {
         let share = Share {
@@ -135,7 +134,7 @@
 }
 
 /// Explains the path after `path=`, with headers such as `key` and `tenant`.
-fn explain(shared: &daemon::Shared, query: &str, headers: &http::HeaderMap) -> server::Response {
+fn explain(shared: &tables::Shared, query: &str, headers: &http::HeaderMap) -> server::Response {
     match query.strip_prefix("path=") {
         Some(path) => ok(&explain::explain(shared, path, headers)),
         None => text(
@@ -147,7 +146,7 @@
 
 /// Lists recent requests, or finds the one after `id=` at the daemon whose
 /// incarnation it begins with.
-fn recent(shared: &daemon::Shared, query: &str) -> server::Response {
+fn recent(shared: &tables::Shared, query: &str) -> server::Response {
     let Some(id) = query.strip_prefix("id=") else {
         return ok(&shared.recent.newest(LISTED));
     };
@@ -157,7 +156,7 @@
     }
 }
 
-fn find(shared: &daemon::Shared, id: &str) -> Result<requests::Entry, String> {
+fn find(shared: &tables::Shared, id: &str) -> Result<requests::Entry, String> {
     let incarnation = id.split_once('-').map(|(daemon, _)| daemon);
     let incarnation = incarnation.and_then(|text| u64::from_str_radix(text, 16).ok());
     let incarnation = incarnation
@@ -182,17 +181,17 @@
     })
 }
 
-fn counts(shared: &daemon::Shared) -> burn::Reply {
+fn counts(shared: &tables::Shared) -> burn::Reply {
     shared.burn.reply(&shared.settings.host, clock::now())
 }
 
-fn burn(shared: &daemon::Shared) -> burn::report::Report {
+fn burn(shared: &tables::Shared) -> burn::report::Report {
     let state = shared.journal.state();
     let answers = fleet::ask(&state, shared.me, "/peer/burn", counts(shared));
     burn::report::merge(&shared.journal.state().config, answers)
 }
 
-fn confirm(shared: &Arc<daemon::Shared>, request: &mut server::Request) -> server::Response {
+fn confirm(shared: &Arc<tables::Shared>, request: &mut server::Request) -> server::Response {
     let body = match request.body.read_whole() {
         Ok(body) => body,
         Err(error) => return text(http::StatusCode::BAD_REQUEST, format!("{error}\n")),
--- a/src/admin/confirm.rs
+++ b/src/admin/confirm.rs
@@ -8,11 +8,11 @@
 use serde::{Deserialize, Serialize};
 
 use crate::admin::guard;
-use crate::daemon;
 use crate::journal;
 use crate::model;
 use crate::peer::{self, fleet};
 use crate::state;
+use crate::tables;
 
 /// Longest wait for the log's decision on a confirmed plan.
 const DECISION: Duration = Duration::from_secs(5);
@@ -70,7 +70,7 @@
 }
 
 /// Appends a plan if nothing speaks against it.
-pub fn confirm(shared: &Arc<daemon::Shared>, plan: &state::plan::Plan) -> Confirmation {
+pub fn confirm(shared: &Arc<tables::Shared>, plan: &state::plan::Plan) -> Confirmation {
     let reasons = obstacles(shared, plan);
     if !reasons.is_empty() {
         log::info!(
@@ -100,7 +100,7 @@
     }
 }
 
-fn obstacles(shared: &daemon::Shared, plan: &state::plan::Plan) -> Vec<String> {
+fn obstacles(shared: &tables::Shared, plan: &state::plan::Plan) -> Vec<String> {
     // The last change of an object is known for certain only from the plan's
     // base on; later ones are conflicts, which the fold finds.
     let before = model::Offset(plan.base.0.saturating_sub(1));
@@ -124,7 +124,7 @@
 }
 
 /// Asks all daemons what they have read.
-fn behind(shared: &daemon::Shared, needed: &guard::Guarded) -> Vec<String> {
+fn behind(shared: &tables::Shared, needed: &guard::Guarded) -> Vec<String> {
     let state = shared.journal.state();
     let own = peer::OffsetReply {
         from: shared.me,
@@ -135,7 +135,7 @@
 }
 
 /// Returns the changes of the plan's objects at or after its base.
-fn meanwhile(shared: &daemon::Shared, plan: &state::plan::Plan) -> Vec<Meanwhile> {
+fn meanwhile(shared: &tables::Shared, plan: &state::plan::Plan) -> Vec<Meanwhile> {
     let state = shared.journal.state();
     let mut origins = BTreeMap::new();
     let mut found: Vec<Meanwhile> = Vec::new();
@@ -159,7 +159,7 @@
 }
 
 /// Reads one record from the log.
-pub fn read(shared: &daemon::Shared, offset: model::Offset) -> Option<state::Envelope> {
+pub fn read(shared: &tables::Shared, offset: model::Offset) -> Option<state::Envelope> {
     let kept = shared.journal.recent(offset, 1).unwrap_or_default();
     if let Some((at, data)) = kept.first() {
         return (*at == offset).then(|| state::Envelope::decode(data).ok())?;
@@ -174,7 +174,7 @@
 }
 
 /// Returns who decided the change of record `offset`.
-pub fn origin(shared: &daemon::Shared, offset: model::Offset) -> Option<Origin> {
+pub fn origin(shared: &tables::Shared, offset: model::Offset) -> Option<Origin> {
     let envelope = read(shared, offset)?;
     let state::Body::Change {
         plan,
--- a/src/admin/explain.rs
+++ b/src/admin/explain.rs
@@ -5,10 +5,10 @@
 use serde::{Deserialize, Serialize};
 
 use crate::admin::confirm::{self, Origin};
-use crate::daemon;
 use crate::model;
 use crate::route;
 use crate::state;
+use crate::tables;
 
 /// Who answers for a request.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -97,7 +97,7 @@
 }
 
 /// Explains a request for `path` with headers such as `key` and `tenant`.
-pub fn explain(shared: &daemon::Shared, path: &str, headers: &http::HeaderMap) -> Explanation {
+pub fn explain(shared: &tables::Shared, path: &str, headers: &http::HeaderMap) -> Explanation {
     let view = shared.view();
     let state = &view.state;
     let domains = state.config.domains.values();
@@ -150,7 +150,7 @@
     longest.map(|prefix| format!("route/{prefix}"))
 }
 
-fn binding(shared: &daemon::Shared, state: &state::State, object: String) -> Option<Binding> {
+fn binding(shared: &tables::Shared, state: &state::State, object: String) -> Option<Binding> {
     let record = *state.config.changed.get(&object)?;
     Some(Binding {
         object,
@@ -160,7 +160,7 @@
 }
 
 fn place(
-    shared: &daemon::Shared,
+    shared: &tables::Shared,
     state: &state::State,
     resolved: &route::Resolved,
     bindings: Vec<Binding>,
@@ -209,7 +209,7 @@
 }
 
 fn owner(
-    shared: &daemon::Shared,
+    shared: &tables::Shared,
     state: &state::State,
     shard: model::Shard,
     owner: &state::Ownership,
@@ -248,7 +248,7 @@
 /// Says what a record that made a target the owner was, and which change of
 /// the configuration led to it.
 fn reason(
-    shared: &daemon::Shared,
+    shared: &tables::Shared,
     state: &state::State,
     envelope: &state::Envelope,
 ) -> (String, Option<Origin>) {
--- a/src/admin/status.rs
+++ b/src/admin/status.rs
@@ -2,9 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::daemon;
 use crate::model;
 use crate::peer::fleet;
+use crate::tables;
 
 /// Short account of a daemon.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -51,7 +51,7 @@
 }
 
 /// Returns the account of this daemon.
-pub fn status(shared: &daemon::Shared) -> Status {
+pub fn status(shared: &tables::Shared) -> Status {
     let keepers: Vec<_> = shared.keepers.read().values().cloned().collect();
     let held = keepers.iter().map(|keeper| {
         let (limit, running, waiting) = keeper
@@ -84,7 +84,7 @@
 }
 
 /// Returns the accounts of all daemons.
-pub fn all(shared: &daemon::Shared) -> fleet::Answers<Status> {
+pub fn all(shared: &tables::Shared) -> fleet::Answers<Status> {
     fleet::ask(
         &shared.journal.state(),
         shared.me,
--- a/src/burn.rs
+++ b/src/burn.rs
@@ -4,11 +4,10 @@
 //! [`Table`] counts in one daemon; [`report`] merges the counts of all daemons
 //! and says which of the usual windows burn too fast.
 
-mod count;
 pub mod page;
 pub mod report;
 
-pub use count::{Counted, Counts, Reply, Series, Table};
+pub use crate::tables::count::{Counted, Counts, Reply, Series, Table};
 
 /// Two windows that must both burn faster than a threshold.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -16,11 +16,8 @@
 mod recall;
 pub mod retry;
 mod served;
-mod shared;
 mod steward;
 
-pub use shared::{Shared, View};
-
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
@@ -33,6 +30,7 @@
 use crate::peer;
 use crate::server;
 use crate::settings;
+use crate::tables::{self, hedges};
 use crate::token;
 
 /// Time between `/ready` turning false and the end of listening, in
@@ -62,7 +60,7 @@
 
 /// A running daemon.
 pub struct Daemon {
-    shared: Arc<Shared>,
+    shared: Arc<tables::Shared>,
     callers: server::Server,
     peers: server::Server,
     admin: server::Server,
@@ -76,7 +74,7 @@
     /// Fails if an address can't be listened on.
     pub fn start(settings: settings::Settings) -> Result<Self, StartError> {
         let token = token::Token::new();
-        let shared = Arc::new(Shared::new(settings, token.clone()));
+        let shared = Arc::new(tables::Shared::new(settings, token.clone()));
         let handle = shared.clone();
         let callers = serve(&shared, Port::Caller, move |request| {
             handle.serve_caller(request)
@@ -102,7 +100,7 @@
     }
 
     /// Returns what the daemon's threads share.
-    pub fn shared(&self) -> &Arc<Shared> {
+    pub fn shared(&self) -> &Arc<tables::Shared> {
         &self.shared
     }
 
@@ -134,7 +132,7 @@
 }
 
 fn serve(
-    shared: &Arc<Shared>,
+    shared: &Arc<tables::Shared>,
     port: Port,
     handler: impl server::Handler,
 ) -> Result<server::Server, StartError> {
@@ -169,7 +167,7 @@
     server::Server::start(listener, options, handler, shared.token.child()).map_err(failed)
 }
 
-fn start_threads(shared: &Arc<Shared>) -> Vec<thread::JoinHandle<()>> {
+fn start_threads(shared: &Arc<tables::Shared>) -> Vec<thread::JoinHandle<()>> {
     let follower = journal::Follower::new(
         shared.journal.clone(),
         journal::Client::new(shared.settings.platform.log),
@@ -204,10 +202,10 @@
 }
 
 /// Starts the timer and the pool of second attempts.
-fn start_hedges(shared: &Arc<Shared>) -> Vec<thread::JoinHandle<()>> {
+fn start_hedges(shared: &Arc<tables::Shared>) -> Vec<thread::JoinHandle<()>> {
     let timer = shared.clone();
     let run = move || timer.hedges.run_timer(&timer.token);
-    let pool = (0..hedge::THREADS).map(|_| {
+    let pool = (0..hedges::THREADS).map(|_| {
         let shared = shared.clone();
         thread::spawn(move || shared.hedges.run_attempts())
     });
--- a/src/daemon/attempt.rs
+++ b/src/daemon/attempt.rs
@@ -10,12 +10,11 @@
 use crate::daemon::hold;
 use crate::daemon::recall;
 use crate::daemon::retry::WAIT;
-use crate::daemon::shared::{Shared, View};
 use crate::forward;
 use crate::model;
 use crate::route;
 use crate::server;
-use crate::tables::{detour, requests};
+use crate::tables::{self, detour, requests};
 use crate::token;
 
 /// Time by which the wait for another daemon's answer exceeds the deadline,
@@ -54,14 +53,14 @@
     pub record: requests::Attempt,
 }
 
-impl Shared {
+impl tables::Shared {
     /// Returns where an attempt goes that avoids the targets `tried`, if others are left.
     ///
     /// # Errors
     /// Fails if no target may serve the request.
     pub fn aim(
         &self,
-        view: &View,
+        view: &tables::View,
         call: &Call,
         tried: &[model::TargetName],
     ) -> Result<Aim, server::Refusal> {
@@ -88,7 +87,7 @@
     /// Returns a target of a shared service that is not among `tried`.
     pub fn aim_elsewhere(
         &self,
-        view: &View,
+        view: &tables::View,
         call: &Call,
         tried: &[model::TargetName],
     ) -> Option<Aim> {
@@ -108,7 +107,7 @@
     /// answer any more.
     pub fn attempt(
         self: &Arc<Self>,
-        view: &View,
+        view: &tables::View,
         call: &Call,
         aim: Aim,
         content: forward::Content<'_>,
@@ -142,7 +141,7 @@
 
     fn dispatch(
         self: &Arc<Self>,
-        view: &View,
+        view: &tables::View,
         call: &Call,
         aim: &Aim,
         content: forward::Content<'_>,
--- a/src/daemon/balancer.rs
+++ b/src/daemon/balancer.rs
@@ -8,7 +8,6 @@
 
 use crate::clock;
 use crate::daemon::keeper;
-use crate::daemon::shared::Shared;
 use crate::model;
 use crate::placement;
 use crate::state;
@@ -35,7 +34,7 @@
 /// Requests per second of a group below which load moves nothing.
 const LEAST_RATE: f64 = 20.0;
 
-impl Shared {
+impl tables::Shared {
     /// Evens out the targets that this daemon keeps until the token is cancelled.
     pub fn run_balancer(self: &Arc<Self>) {
         let mut windows = 0;
--- a/src/daemon/cover.rs
+++ b/src/daemon/cover.rs
@@ -4,8 +4,8 @@
 
 use crate::clock;
 use crate::daemon::hold;
-use crate::daemon::shared::Shared;
 use crate::server;
+use crate::tables;
 
 /// Longest wait until the backup has noted that requests may run as long as
 /// this one, in milliseconds.
@@ -14,7 +14,7 @@
 /// Pause between two looks whether it has.
 const COVER_PAUSE: Duration = Duration::from_millis(2);
 
-impl Shared {
+impl tables::Shared {
     /// Waits until the span of the lease covers the request. That takes a round
     /// trip to the backup only if no recent request for the target was as long.
     pub(super) fn cover(&self, order: &hold::Order<'_>) -> Result<(), server::Refusal> {
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -9,14 +9,13 @@
 use crate::daemon::header;
 use crate::daemon::recall;
 use crate::daemon::retry;
-use crate::daemon::shared::{Shared, View};
 use crate::forward;
 use crate::metrics;
 use crate::model;
 use crate::route;
 use crate::server;
 use crate::state;
-use crate::tables::{requests, seats};
+use crate::tables::{self, requests, seats};
 
 /// What a request went through so far.
 #[derive(Default)]
@@ -32,7 +31,7 @@
     unknown: Option<server::Refusal>,
 }
 
-impl Shared {
+impl tables::Shared {
     /// Answers a caller's request.
     pub fn serve_caller(self: &Arc<Self>, mut request: server::Request) -> server::Response {
         let start = Instant::now();
@@ -92,7 +91,7 @@
     /// Sends the request until it is answered, must not be sent again, or its deadline passes.
     fn attempts(
         self: &Arc<Self>,
-        mut view: Arc<View>,
+        mut view: Arc<tables::View>,
         call: &Arc<Call>,
         body: &mut server::Payload,
         trace: &RefCell<requests::Trace>,
@@ -139,7 +138,7 @@
     /// Makes an attempt, and for shared services a second one if the first is slow.
     fn send_round(
         self: &Arc<Self>,
-        view: &View,
+        view: &tables::View,
         call: &Arc<Call>,
         body: &mut server::Payload,
         (trace, tried): (&RefCell<requests::Trace>, &mut Vec<model::TargetName>),
--- a/src/daemon/handover.rs
+++ b/src/daemon/handover.rs
@@ -9,13 +9,13 @@
 use std::time::Duration;
 
 use crate::clock;
-use crate::daemon::shared::Shared;
 use crate::journal;
 use crate::lease;
 use crate::model;
 use crate::peer;
 use crate::server;
 use crate::state;
+use crate::tables;
 
 /// Longest time for one call to another daemon.
 const CALL: Duration = Duration::from_millis(500);
@@ -52,7 +52,7 @@
     Message(#[from] peer::Error),
 }
 
-impl Shared {
+impl tables::Shared {
     /// Hands all leases that are still held to their backups without a record,
     /// and resigns as backup of others. Returns once each was taken or is left
     /// to the log.
--- a/src/daemon/hedge.rs
+++ b/src/daemon/hedge.rs
@@ -4,75 +4,26 @@
 //! second one on a small pool if the first still runs at its time.
 
 use std::io::{self, Read};
-use std::panic::{self, AssertUnwindSafe};
 use std::sync::Arc;
 use std::time::Instant;
 
 use bytes::Bytes;
-use crossbeam::channel;
 
 use crate::clock;
 use crate::daemon::attempt;
 use crate::daemon::race;
-use crate::daemon::shared::{Shared, View};
 use crate::forward;
 use crate::model;
 use crate::route;
 use crate::server;
-use crate::tables::timer;
+use crate::tables;
 use crate::token;
 
-/// Threads for second attempts.
-pub const THREADS: usize = 16;
-
-/// Second attempts that may wait for a thread; those beyond are left out.
-const QUEUE: usize = 16;
-
-type Job = Box<dyn FnOnce() + Send>;
 type Race = race::Race<attempt::Ended>;
 
-/// Timer and pool for second attempts.
-pub struct Hedges {
-    timer: Arc<timer::Timer>,
-    sender: channel::Sender<Option<Job>>,
-    receiver: channel::Receiver<Option<Job>>,
-}
-
-impl Default for Hedges {
-    fn default() -> Self {
-        let (sender, receiver) = channel::bounded(QUEUE);
-        Self {
-            timer: Arc::default(),
-            sender,
-            receiver,
-        }
-    }
-}
-
-impl Hedges {
-    /// Starts second attempts until `token` is cancelled.
-    pub fn run_timer(&self, token: &token::Token) {
-        let timer = self.timer.clone();
-        let _stop = token.on_cancel(move || timer.stop());
-        self.timer.run();
-        for _ in 0..THREADS {
-            let _ = self.sender.send(None);
-        }
-    }
-
-    /// Carries out second attempts until the timer has ended.
-    pub fn run_attempts(&self) {
-        while let Ok(Some(job)) = self.receiver.recv() {
-            if panic::catch_unwind(AssertUnwindSafe(job)).is_err() {
-                log::error!("a second attempt panicked");
-            }
-        }
-    }
-}
-
 /// A second attempt that may be made.
 struct Second {
-    shared: Arc<Shared>,
+    shared: Arc<tables::Shared>,
     race: Arc<Race>,
     abort: forward::Abort,
     call: Arc<attempt::Call>,
@@ -87,8 +38,7 @@
         if !self.race.is_open() || !shared.budget.take(clock::now()) {
             return;
         }
-        let job: Job = Box::new(move || self.run());
-        if shared.hedges.sender.try_send(Some(job)).is_err() {
+        if !shared.hedges.submit(move || self.run()) {
             shared.budget.give_back();
         }
     }
@@ -113,7 +63,7 @@
     }
 }
 
-impl Shared {
+impl tables::Shared {
     /// Returns the answer times of a service.
     pub fn delay(&self, service: &model::ServiceName) -> Arc<route::hedge::Delay> {
         if let Some(delay) = self.delays.read().get(service) {
@@ -141,7 +91,7 @@
     /// one that counts first.
     pub(super) fn attempt_hedged(
         self: &Arc<Self>,
-        view: &View,
+        view: &tables::View,
         call: &Arc<attempt::Call>,
         aim: attempt::Aim,
         body: &Bytes,
@@ -163,7 +113,7 @@
 
     fn run_race(
         self: &Arc<Self>,
-        view: &View,
+        view: &tables::View,
         call: &Arc<attempt::Call>,
         aim: attempt::Aim,
         body: &Bytes,
@@ -180,7 +130,7 @@
             first: aim.target.clone(),
         };
         let tie = abort.fire_with(&call.request.token);
-        let armed = self.hedges.timer.arm(at, move || second.submit());
+        let armed = self.hedges.arm(at, move || second.submit());
         let mut first = self.attempt(view, call, aim, content(body), abort.token());
         drop(armed);
         let left = call.deadline.since(clock::now()) + attempt::ANSWER_MARGIN;
--- a/src/daemon/hold.rs
+++ b/src/daemon/hold.rs
@@ -9,12 +9,11 @@
 
 use crate::clock;
 use crate::daemon::header;
-use crate::daemon::shared::Shared;
 use crate::forward;
 use crate::model;
 use crate::route;
 use crate::server;
-use crate::tables::keeper;
+use crate::tables::{self, keeper};
 use crate::target;
 use crate::target::admission;
 use crate::token;
@@ -52,7 +51,7 @@
 
 /// A request that a target may be running.
 struct Held {
-    shared: Arc<Shared>,
+    shared: Arc<tables::Shared>,
     permit: admission::Permit,
     keeper: Arc<keeper::Keeper>,
     id: Arc<str>,
@@ -119,7 +118,7 @@
     }
 }
 
-impl Shared {
+impl tables::Shared {
     /// Carries out a request at the target, or refuses it truthfully.
     ///
     /// # Errors
@@ -370,7 +369,7 @@
     }
 }
 
-impl Shared {
+impl tables::Shared {
     /// Returns the refusal of a request for a target whose lease this daemon
     /// does not hold. It names the other daemon that may hold it.
     fn moved(&self, target: &model::TargetName) -> server::Refusal {
--- a/src/daemon/housekeeper.rs
+++ b/src/daemon/housekeeper.rs
@@ -7,10 +7,10 @@
 
 use crate::clock;
 use crate::daemon::membership;
-use crate::daemon::shared::Shared;
 use crate::model;
 use crate::placement;
 use crate::state;
+use crate::tables;
 
 /// Pause between two rounds.
 const ROUND: Duration = Duration::from_millis(100);
@@ -38,7 +38,7 @@
     missing: Option<clock::Millis>,
 }
 
-impl Shared {
+impl tables::Shared {
     /// Proposes what the state lacks until the token is cancelled.
     pub fn run_housekeeper(self: &Arc<Self>) {
         let mut memory = Memory::default();
--- a/src/daemon/keeper.rs
+++ b/src/daemon/keeper.rs
@@ -8,22 +8,21 @@
 use std::sync::Arc;
 
 use crate::clock;
-use crate::daemon::shared::Shared;
 use crate::model;
 use crate::state;
-use crate::tables::keeper::Keeper;
+use crate::tables::{self, keeper::Keeper};
 use crate::target::{admission, cancel, control, grants, wire};
 
 /// Keeps one target.
 #[derive(Clone)]
 pub struct Worker {
-    shared: Arc<Shared>,
+    shared: Arc<tables::Shared>,
     keeper: Arc<Keeper>,
 }
 
 impl Worker {
     /// Returns a worker for a target that this daemon keeps.
-    pub fn new(shared: Arc<Shared>, keeper: Arc<Keeper>) -> Self {
+    pub fn new(shared: Arc<tables::Shared>, keeper: Arc<Keeper>) -> Self {
         Self { shared, keeper }
     }
 
@@ -172,7 +171,7 @@
     }
 }
 
-impl Shared {
+impl tables::Shared {
     /// Has a target cancel a request, without waiting for it.
     pub(super) fn cancel(
         &self,
--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -8,13 +8,13 @@
 use crate::clock;
 use crate::daemon::header;
 use crate::daemon::hold;
-use crate::daemon::shared::Shared;
 use crate::forward;
 use crate::journal;
 use crate::model;
 use crate::peer;
 use crate::server;
 use crate::state;
+use crate::tables;
 use crate::target::wire;
 
 /// Longest time for one call to another daemon.
@@ -29,7 +29,7 @@
 /// Largest reply of another daemon, in bytes.
 const REPLY_BYTES: u64 = 256 << 20;
 
-impl Shared {
+impl tables::Shared {
     /// Answers a request on the port for other daemons.
     pub fn serve_peer(self: &Arc<Self>, mut request: server::Request) -> server::Response {
         if request.headers.contains_key(header::ROUTE_TARGET) {
@@ -161,14 +161,14 @@
 
 /// Asks other daemons for state and records while the log does not answer.
 pub struct Source {
-    shared: Arc<Shared>,
+    shared: Arc<tables::Shared>,
     agent: ureq::Agent,
 }
 
 impl Source {
     /// Returns a source that asks the daemons of the newest state, and those
     /// named in the settings.
-    pub fn new(shared: Arc<Shared>) -> Self {
+    pub fn new(shared: Arc<tables::Shared>) -> Self {
         let config = ureq::Agent::config_builder()
             .max_redirects(0)
             .proxy(None)
--- a/src/daemon/recall.rs
+++ b/src/daemon/recall.rs
@@ -5,15 +5,14 @@
 use std::time::Instant;
 
 use crate::clock;
-use crate::daemon::shared::Shared;
 use crate::server;
 use crate::state;
-use crate::tables::requests;
+use crate::tables::{self, requests};
 
 /// Result of a caller's request or of one attempt.
 type Answered = Result<server::Response, server::Refusal>;
 
-impl Shared {
+impl tables::Shared {
     /// Counts the request for the service-level report and the list of recent ones.
     pub(super) fn remember(
         &self,
--- a/src/daemon/served.rs
+++ b/src/daemon/served.rs
@@ -9,11 +9,11 @@
 use std::time::Duration;
 
 use crate::admin::status;
-use crate::daemon::shared::Shared;
 use crate::model;
 use crate::peer;
 use crate::placement;
 use crate::state;
+use crate::tables;
 
 /// Longest wait for a holder's answer. A holder that is silent for longer
 /// loses its leases soon.
@@ -25,7 +25,7 @@
 /// Largest answer of a holder, in bytes.
 const REPLY_BYTES: u64 = 1 << 20;
 
-impl Shared {
+impl tables::Shared {
     /// Plans moves of shards to targets that are served.
     ///
     /// `plan` is called with the newest state, in which targets that are not
--- a/src/daemon/steward.rs
+++ b/src/daemon/steward.rs
@@ -8,7 +8,6 @@
 use crate::clock;
 use crate::daemon::keeper;
 use crate::daemon::membership;
-use crate::daemon::shared::Shared;
 use crate::lease;
 use crate::model;
 use crate::peer;
@@ -31,7 +30,7 @@
 /// Longest pause of the thread that follows the state.
 const FOLLOW: Duration = Duration::from_millis(500);
 
-impl Shared {
+impl tables::Shared {
     /// Opens the socket for heartbeats.
     ///
     /// # Errors
--- a/src/daemon/shared.rs
+++ b/src/tables/shared.rs
@@ -6,9 +6,7 @@
 
 use parking_lot::{Mutex, RwLock};
 
-use crate::burn;
 use crate::clock;
-use crate::daemon::hedge;
 use crate::forward;
 use crate::journal;
 use crate::lease;
@@ -19,69 +17,12 @@
 use crate::route;
 use crate::settings;
 use crate::state;
-use crate::tables::{detour, keeper, requests, running, seats};
+use crate::tables::view::View;
+use crate::tables::{count, detour, hedges, keeper, requests, running, seats};
 use crate::target;
 use crate::token;
 
-/// A published state with what requests look up in it.
-pub struct View {
-    /// The state.
-    pub state: Arc<state::State>,
-    /// Routes of this daemon's region.
-    pub routes: Arc<route::Table>,
-    /// Targets that may serve requests of each shared placement group.
-    candidates: Mutex<HashMap<Arc<model::GroupId>, Arc<Vec<route::choice::Candidate>>>>,
-    local: model::RegionName,
-}
-
-impl View {
-    fn new(state: Arc<state::State>, local: &model::RegionName) -> Self {
-        Self {
-            routes: Arc::new(route::Table::new(&state, local)),
-            candidates: Mutex::default(),
-            local: local.clone(),
-            state,
-        }
-    }
-
-    /// Prepares a newer state. Moves and leases, the most frequent records,
-    /// change neither routes nor candidates.
-    fn advance(&self, state: Arc<state::State>) -> Self {
-        let same =
-            Arc::ptr_eq(&self.state.config, &state.config) && self.state.hosts == state.hosts;
-        if !same {
-            return Self::new(state, &self.local);
-        }
-        Self {
-            routes: self.routes.clone(),
-            candidates: Mutex::new(self.candidates.lock().clone()),
-            local: self.local.clone(),
-            state,
-        }
-    }
-
-    /// Returns the targets that may serve requests of a shared placement group.
-    pub fn candidates(&self, group: &Arc<model::GroupId>) -> Arc<Vec<route::choice::Candidate>> {
-        let mut candidates = self.candidates.lock();
-        if let Some(found) = candidates.get(group) {
-            return found.clone();
-        }
-        let targets = self.state.candidates(group).into_iter();
-        let fitting = targets.map(|target| route::choice::Candidate {
-            name: target.name.clone(),
-            local: self.state.region(&target.domain) == Some(&self.local),
-            concurrency: target.concurrency,
-        });
-        let fitting = Arc::new(fitting.collect::<Vec<_>>());
-        candidates.insert(group.clone(), fitting.clone());
-        fitting
-    }
-}
-
-/// What all threads of a daemon share.
-///
-/// Lock order: `view`, `leases`, `keepers`, then the admission of one target.
-/// No lock is held across I/O.
+/// What all threads of a daemon share; the module's page has the lock order.
 pub struct Shared {
     /// Settings.
     pub settings: settings::Settings,
@@ -110,7 +51,7 @@
     /// Budget for retries and hedges.
     pub budget: route::budget::Budget,
     /// Second attempts at slow requests.
-    pub hedges: hedge::Hedges,
+    pub hedges: hedges::Hedges,
     /// Answer times of shared services.
     pub delays: RwLock<HashMap<model::ServiceName, Arc<route::hedge::Delay>>>,
     /// Bounds the callers' requests that wait for a newer state.
@@ -128,7 +69,7 @@
     /// Recent requests that are worth a look.
     pub recent: requests::Ring,
     /// Good and total requests of each service.
-    pub burn: burn::Table,
+    pub burn: count::Table,
     /// Knowledge that running requests were admitted with.
     pub running: running::Running,
     view: RwLock<Arc<View>>,
@@ -154,7 +95,7 @@
             loads: Mutex::default(),
             joins: Mutex::default(),
             budget: route::budget::Budget::new(settings.policy.extra_percent, clock::now()),
-            hedges: hedge::Hedges::default(),
+            hedges: hedges::Hedges::default(),
             delays: RwLock::default(),
             seats: seats::Seats::half_of(settings.limits.workers),
             detours: detour::Detours::default(),
@@ -163,7 +104,7 @@
             token,
             leaving: AtomicBool::new(false),
             recent: requests::Ring::default(),
-            burn: burn::Table::new(clock::now()),
+            burn: count::Table::new(clock::now()),
             running: running::Running::default(),
             view: RwLock::new(Arc::new(view)),
             requests: AtomicU64::new(0),
