Separate what decides from what sends in hold and attempt

These functions, and the ones of entry, are now in daemon::refusal, which is pure. Two things stood twice there: the refusal after the deadline, and the reason of a request that its target or its lease holder did not answer; the pauses that differ between the two stay as they were.

hold::held has the slot of a request that was sent and how it is freed, and hold::headers and attempt::headers what the next hop is told. attempt::outcome says what the end of an attempt means for its target and the list of recent requests, with times as arguments.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -14,6 +14,7 @@
 mod peers;
 pub mod race;
 mod recall;
+mod refusal;
 pub mod retry;
 mod served;
 mod steward;
--- a/src/daemon/attempt.rs
+++ b/src/daemon/attempt.rs
@@ -1,14 +1,15 @@
 //! One attempt to have a caller's request answered by a target's lease holder.
 
+mod headers;
+mod outcome;
+
 use std::sync::Arc;
 use std::time::Instant;
 
-use http::{HeaderName, HeaderValue};
-
 use crate::clock;
 use crate::daemon::header;
 use crate::daemon::hold;
-use crate::daemon::recall;
+use crate::daemon::refusal;
 use crate::daemon::retry::WAIT;
 use crate::forward;
 use crate::model;
@@ -115,9 +116,11 @@
     ) -> Ended {
         let start = Instant::now();
         let mut result = self.dispatch(view, call, &aim, content, token);
-        let record = record(call, &aim, &result, start);
-        if let Some(running) = aim.running {
-            finish(running, call, &result, start);
+        let times = (start.duration_since(call.start), call.start.elapsed());
+        let record = outcome::record(&aim, &result, times);
+        let outcome = outcome::at_target(&result, call.request.token.is_cancelled());
+        if let Some((running, outcome)) = aim.running.zip(outcome) {
+            running.finish(clock::now(), outcome, start.elapsed());
         }
         if let Ok(response) = &mut result {
             self.read_load(&aim.target, response);
@@ -201,14 +204,8 @@
         (offset, token): (model::Offset, &token::Token),
         content: forward::Content<'_>,
     ) -> Result<server::Response, server::Refusal> {
-        let left = call.deadline.since(clock::now());
-        if left == 0 {
-            return Err(server::Refusal::not_run(
-                server::Reason::Deadline,
-                "the deadline has passed",
-            ));
-        }
-        let extra = forward_headers(call, aim, offset, left);
+        let left = refusal::time_left(call.deadline, clock::now())?;
+        let extra = headers::for_holder(call, aim, offset, left);
         let outbound = forward::Outbound {
             method: &call.request.method,
             path: &call.request.target,
@@ -227,7 +224,7 @@
                     self.forward.reset(peer);
                 }
                 self.detours.on_failure(&aim.target, seat, &failure);
-                unanswered(&aim.target, &failure)
+                refusal::from_holder_failure(&aim.target, &failure)
             })?;
         if let Some(refusal) = server::Refusal::from_response(inbound.status, &inbound.headers) {
             return Err(self.detours.on_refusal(&aim.target, seat, refusal));
@@ -249,86 +246,3 @@
         Ok(response)
     }
 }
-
-/// Counts the end of an attempt at its target.
-fn finish(
-    running: route::choice::Running,
-    call: &Call,
-    result: &Result<server::Response, server::Refusal>,
-    start: Instant,
-) {
-    let outcome = match result.as_ref().map_err(|refusal| refusal.reason) {
-        Ok(_) => route::choice::Outcome::Answered,
-        Err(server::Reason::Shed | server::Reason::Overloaded | server::Reason::TargetCold) => {
-            route::choice::Outcome::Shed
-        }
-        // Dropping it counts it as abandoned, since the caller went away.
-        Err(server::Reason::Cancelled) if call.request.token.is_cancelled() => return,
-        Err(server::Reason::Cancelled) => route::choice::Outcome::Overtaken,
-        Err(_) => route::choice::Outcome::Failed,
-    };
-    running.finish(clock::now(), outcome, start.elapsed());
-}
-
-fn record(
-    call: &Call,
-    aim: &Aim,
-    result: &Result<server::Response, server::Refusal>,
-    start: Instant,
-) -> requests::Attempt {
-    let (outcome, reason) = recall::outcome(result);
-    requests::Attempt {
-        target: aim.target.clone(),
-        shard: aim.shard,
-        outcome: outcome.into(),
-        reason: reason.into(),
-        start_us: start.duration_since(call.start).as_micros() as u64,
-        end_us: call.start.elapsed().as_micros() as u64,
-    }
-}
-
-fn forward_headers(
-    call: &Call,
-    aim: &Aim,
-    offset: model::Offset,
-    left: u64,
-) -> Vec<(HeaderName, HeaderValue)> {
-    let mut extra = vec![
-        (header::REQUEST_ID, header::value(&call.id)),
-        (header::TIMEOUT, HeaderValue::from(left)),
-        (header::ROUTE_TARGET, header::value(aim.target.as_str())),
-        (
-            header::ROUTE_GROUP,
-            header::value(&call.resolved.group.to_string()),
-        ),
-        (
-            header::ROUTE_TENANT,
-            HeaderValue::from(call.resolved.tenant),
-        ),
-        (header::ROUTE_OFFSET, HeaderValue::from(offset.0)),
-    ];
-    if let Some(shard) = aim.shard {
-        extra.push((header::ROUTE_SHARD, header::value(&shard.to_string())));
-    }
-    extra
-}
-
-fn unanswered(target: &model::TargetName, failure: &forward::Failure) -> server::Refusal {
-    let detail = format!("lease holder of {target}: {}", failure.cause);
-    match failure.outcome {
-        forward::Outcome::NotRun => match failure.cause {
-            forward::Cause::Cancelled => {
-                server::Refusal::not_run(server::Reason::Cancelled, detail)
-            }
-            _ => server::Refusal::not_run(server::Reason::Unreachable, detail).after(WAIT),
-        },
-        forward::Outcome::Unknown => {
-            let reason = match failure.cause {
-                forward::Cause::Timeout => server::Reason::Deadline,
-                forward::Cause::Cancelled => server::Reason::Cancelled,
-                _ => server::Reason::ConnectionLost,
-            };
-            server::Refusal::unknown(reason, detail)
-        }
-    }
-}
--- /dev/null
+++ b/src/daemon/attempt/headers.rs
@@ -0,0 +1,36 @@
+//! Headers of a request to the lease holder of its target.
+
+use http::{HeaderName, HeaderValue};
+
+use crate::daemon::attempt::{Aim, Call};
+use crate::daemon::header;
+use crate::model;
+
+/// Returns what a lease holder is told besides the caller's headers, where
+/// `offset` is the next one of the sender's state and `left` the time until
+/// the deadline, in milliseconds.
+pub fn for_holder(
+    call: &Call,
+    aim: &Aim,
+    offset: model::Offset,
+    left: u64,
+) -> Vec<(HeaderName, HeaderValue)> {
+    let mut extra = vec![
+        (header::REQUEST_ID, header::value(&call.id)),
+        (header::TIMEOUT, HeaderValue::from(left)),
+        (header::ROUTE_TARGET, header::value(aim.target.as_str())),
+        (
+            header::ROUTE_GROUP,
+            header::value(&call.resolved.group.to_string()),
+        ),
+        (
+            header::ROUTE_TENANT,
+            HeaderValue::from(call.resolved.tenant),
+        ),
+        (header::ROUTE_OFFSET, HeaderValue::from(offset.0)),
+    ];
+    if let Some(shard) = aim.shard {
+        extra.push((header::ROUTE_SHARD, header::value(&shard.to_string())));
+    }
+    extra
+}
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -8,6 +8,7 @@
 use crate::daemon::attempt::Call;
 use crate::daemon::header;
 use crate::daemon::recall;
+use crate::daemon::refusal;
 use crate::daemon::retry;
 use crate::forward;
 use crate::metrics;
@@ -74,9 +75,10 @@
         let resolved = view
             .routes
             .resolve(request.path(), &request.headers)
-            .map_err(unresolved)?;
+            .map_err(refusal::from_route)?;
         *service = Some(resolved.service.clone());
-        body.limit(resolved.service.max_body).map_err(too_large)?;
+        body.limit(resolved.service.max_body)
+            .map_err(refusal::from_body)?;
         self.budget.on_request(request.arrived);
         let call = Arc::new(Call {
             deadline: request.arrived + resolved.timeout,
@@ -232,26 +234,3 @@
         left: call.deadline.since(clock::now()),
     }
 }
-
-fn too_large(error: server::BodyError) -> server::Refusal {
-    server::Refusal::not_run(server::Reason::TooLarge, error.to_string())
-}
-
-fn unresolved(why: route::Refused) -> server::Refusal {
-    let detail = why.to_string();
-    match why {
-        route::Refused::NoRoute => server::Refusal::not_run(server::Reason::NoRoute, detail),
-        route::Refused::WrongRegion { addresses } => {
-            let refusal = server::Refusal::not_run(server::Reason::WrongRegion, detail);
-            match addresses.first() {
-                Some(address) => refusal.at(format!("http://{address}")),
-                None => refusal,
-            }
-        }
-        route::Refused::TenantOut => {
-            server::Refusal::not_run(server::Reason::Moving, detail).after(1_000)
-        }
-        route::Refused::NoHome => server::Refusal::not_run(server::Reason::WrongRegion, detail),
-        _ => server::Refusal::not_run(server::Reason::Malformed, detail),
-    }
-}
--- a/src/daemon/hold.rs
+++ b/src/daemon/hold.rs
@@ -1,14 +1,18 @@
 //! The lease holder's side of a request: the last checks, admission and sending.
 
+mod headers;
+mod held;
+
 use std::cell::Cell;
-use std::io::{self, Read};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-use http::{HeaderName, HeaderValue};
+use http::HeaderValue;
 
 use crate::clock;
 use crate::daemon::header;
+use crate::daemon::hold::held::{Held, HeldReply};
+use crate::daemon::refusal;
 use crate::forward;
 use crate::model;
 use crate::route;
@@ -21,10 +25,6 @@
 /// Largest response body that is held whole, in bytes; larger ones are streamed.
 pub const SMALL_RESPONSE: u64 = 64 << 10;
 
-/// Time after a request's deadline at which its target has ended it at the
-/// latest, in milliseconds: the request may have been that long on its way.
-const SETTLE: u64 = 200;
-
 /// A request for one target, at the daemon that holds the target's lease.
 pub struct Order<'a> {
     /// The target.
@@ -49,30 +49,6 @@
     pub token: &'a token::Token,
 }
 
-/// A request that a target may be running.
-struct Held {
-    shared: Arc<tables::Shared>,
-    permit: admission::Permit,
-    keeper: Arc<keeper::Keeper>,
-    id: Arc<str>,
-    deadline: clock::Millis,
-    start: Instant,
-}
-
-impl Held {
-    fn finish(self, outcome: admission::Outcome) {
-        self.permit.finish(outcome, self.start.elapsed());
-    }
-
-    /// Has the target cancel the request, whose slot stays taken until that is
-    /// confirmed or its deadline has passed: the target may still run it.
-    fn give_up(self) {
-        let until = clock::now().max(self.deadline) + SETTLE;
-        let unsettled = self.permit.give_up(until);
-        self.shared.cancel(&self.keeper, &self.id, Some(unsettled));
-    }
-}
-
 impl Order<'_> {
     fn checked(&self) -> target::order::Order<'_> {
         target::order::Order {
@@ -83,41 +59,6 @@
     }
 }
 
-/// Body of a target's response; frees the target's slot when it has ended.
-struct HeldReply {
-    reply: forward::Reply,
-    held: Option<Held>,
-    outcome: admission::Outcome,
-}
-
-impl Drop for HeldReply {
-    fn drop(&mut self) {
-        if let Some(held) = self.held.take() {
-            held.give_up();
-        }
-    }
-}
-
-impl Read for HeldReply {
-    fn read(&mut self, buf: &mut [u8]) -> io::Result<usize> {
-        match self.reply.read(buf) {
-            Ok(0) if !buf.is_empty() => {
-                if let Some(held) = self.held.take() {
-                    held.finish(self.outcome);
-                }
-                Ok(0)
-            }
-            Ok(count) => Ok(count),
-            Err(error) => {
-                if let Some(held) = self.held.take() {
-                    held.give_up();
-                }
-                Err(error)
-            }
-        }
-    }
-}
-
 impl tables::Shared {
     /// Carries out a request at the target, or refuses it truthfully.
     ///
@@ -128,21 +69,20 @@
         order: &Order<'_>,
         content: forward::Content<'_>,
     ) -> Result<server::Response, server::Refusal> {
-        let keeper = self
-            .keeper(order.target)
-            .ok_or_else(|| self.moved(order.target))?;
+        let moved = || refusal::from_lease(&self.journal.state(), self.me, order.target);
+        let keeper = self.keeper(order.target).ok_or_else(moved)?;
         let key = self.check(order)?;
         let place = self.place(order, key);
         // Without a place, the request would not count as one on its shard.
         if order.shard.is_some() && place.is_none() {
-            return Err(self.moved(order.target));
+            return Err(moved());
         }
         self.cover(order)?;
         let entered =
             keeper
                 .admission
                 .enter_unless(order.token, order.tenant, place, order.deadline);
-        let permit = entered.map_err(refused)?;
+        let permit = entered.map_err(refusal::from_admission)?;
         permit.tag(order.id);
         keeper.load.note(&order.group, order.shard, key);
         // The wait for a slot can outlast the right, the shard's owner or the caller.
@@ -169,7 +109,7 @@
             right: self.may_act(order.target),
         };
         target::order::check(&state, &order.checked(), &facts)
-            .map_err(|why| stopped(order.target, why))
+            .map_err(|why| refusal::from_check(order.target, why))
     }
 
     /// Returns where a request on `key` belongs; `None` for shared services.
@@ -193,14 +133,8 @@
         content: forward::Content<'_>,
         permit: admission::Permit,
     ) -> Result<server::Response, server::Refusal> {
-        let left = order.deadline.since(clock::now());
-        if left == 0 {
-            return Err(server::Refusal::not_run(
-                server::Reason::Deadline,
-                "the deadline has passed",
-            ));
-        }
-        let extra = self.order_headers(keeper, order, left);
+        let left = refusal::time_left(order.deadline, clock::now())?;
+        let extra = headers::for_target(&self.journal.state(), order, keeper.fence(), left);
         let outbound = forward::Outbound {
             method: order.method,
             path: order.path,
@@ -242,35 +176,8 @@
             .send(keeper.address, outbound, timeout, guard, &abort);
         match sent {
             Ok(inbound) => self.receive(order, key, inbound, held),
-            Err(failure) => Err(failed(&failure, held)),
-        }
-    }
-
-    fn order_headers(
-        &self,
-        keeper: &Arc<keeper::Keeper>,
-        order: &Order<'_>,
-        left: u64,
-    ) -> Vec<(HeaderName, HeaderValue)> {
-        let mut extra = vec![
-            (header::REQUEST_ID, header::value(order.id)),
-            (header::TIMEOUT, HeaderValue::from(left)),
-            (
-                header::LEASE_FENCE,
-                header::value(&keeper.fence().to_string()),
-            ),
-        ];
-        if let Some(shard) = order.shard {
-            let state = self.journal.state();
-            let since = state
-                .shard_owner(&order.group, shard)
-                .map(|owner| owner.since);
-            let fence = model::Fence::at(since.unwrap_or_default());
-            extra.push((header::SHARD_GROUP, header::value(&order.group.to_string())));
-            extra.push((header::SHARD, header::value(&shard.to_string())));
-            extra.push((header::SHARD_FENCE, header::value(&fence.to_string())));
+            Err(failure) => Err(held.fail(&failure)),
         }
-        extra
     }
 
     fn receive(
@@ -282,7 +189,7 @@
     ) -> Result<server::Response, server::Refusal> {
         if let Some(why) = inbound.headers.get(&header::TARGET_REFUSAL) {
             let why = String::from_utf8_lossy(why.as_bytes()).into_owned();
-            return Err(target_refused(&why, held));
+            return Err(held.refuse(&why));
         }
         // An answer of a target that may have lost the shard meanwhile does not count.
         if !self.may_go_on(&order.checked(), key) {
@@ -292,17 +199,7 @@
                 "the right to act for the target ended before it answered",
             ));
         }
-        let cold = inbound
-            .headers
-            .get(&header::TARGET_STATE)
-            .is_some_and(|state| state == "cold");
-        // A run that the target stopped does not tell how long a whole one takes.
-        let stopped = inbound.status == http::StatusCode::GATEWAY_TIMEOUT;
-        let outcome = match (cold, stopped) {
-            (true, _) => admission::Outcome::Cold,
-            (false, true) => admission::Outcome::Failed,
-            (false, false) => admission::Outcome::Success,
-        };
+        let outcome = outcome(inbound.status, &inbound.headers);
         header::strip_reply(&mut inbound.headers);
         let keeper = held.keeper.clone();
         let body = match inbound.body.read_small(SMALL_RESPONSE) {
@@ -369,122 +266,16 @@
     }
 }
 
-impl tables::Shared {
-    /// Returns the refusal of a request for a target whose lease this daemon
-    /// does not hold. It names the other daemon that may hold it.
-    fn moved(&self, target: &model::TargetName) -> server::Refusal {
-        let detail = format!("this daemon does not hold the lease on {target}");
-        let refusal = server::Refusal::not_run(server::Reason::Moved, detail);
-        let state = self.journal.state();
-        let lease = state.leases.get(target);
-        let other = lease.and_then(|lease| match lease.backup {
-            Some(backup) if backup != self.me => Some(backup),
-            _ => Some(lease.holder).filter(|holder| *holder != self.me),
-        });
-        match other.and_then(|other| state.hosts.get(&other)) {
-            Some(host) => refusal.at(format!("http://{}", host.peer)),
-            None => refusal,
-        }
-    }
-}
-
-/// Frees or keeps the slot of a request without an answer, has the target
-/// checked if the failure says something about it, and returns the refusal.
-fn failed(failure: &forward::Failure, held: Held) -> server::Refusal {
-    let keeper = held.keeper.clone();
-    match failure.cause {
-        forward::Cause::Refused | forward::Cause::Connect(_) | forward::Cause::ConnectTimeout => {
-            keeper.suspect()
-        }
-        forward::Cause::Timeout => keeper.timed_out(failure.reused),
-        _ => {}
-    }
-    let detail = format!("{}: {}", keeper.target, failure.cause);
-    match failure.outcome {
-        forward::Outcome::NotRun => {
-            held.finish(match failure.cause {
-                forward::Cause::Refused => admission::Outcome::Refused,
-                _ => admission::Outcome::Failed,
-            });
-            let reason = match failure.cause {
-                forward::Cause::Cancelled => server::Reason::Cancelled,
-                _ => server::Reason::Unreachable,
-            };
-            server::Refusal::not_run(reason, detail).after(50)
-        }
-        forward::Outcome::Unknown => {
-            held.give_up();
-            let reason = match failure.cause {
-                forward::Cause::Timeout => server::Reason::Deadline,
-                forward::Cause::Cancelled => server::Reason::Cancelled,
-                _ => server::Reason::ConnectionLost,
-            };
-            server::Refusal::unknown(reason, detail)
-        }
-    }
-}
-
-fn stopped(target: &model::TargetName, why: target::order::Refused) -> server::Refusal {
-    let (reason, detail) = match why {
-        target::order::Refused::OutOfWork => {
-            let detail = format!("{target} takes no new work");
-            (server::Reason::Moved, detail)
-        }
-        target::order::Refused::WrongRegion => {
-            let detail = format!("{target} is outside the request's home regions");
-            (server::Reason::WrongRegion, detail)
-        }
-        target::order::Refused::Rebound => {
-            let detail = "the binding of the route or tenant has changed";
-            (server::Reason::Moved, detail.to_owned())
-        }
-        target::order::Refused::NotOwner => {
-            let detail = format!("the key is not owned by {target} in the shard named");
-            (server::Reason::Moved, detail)
-        }
-        target::order::Refused::NoRight(denied) => {
-            let refusal = server::Refusal::not_run(server::Reason::Moved, denied.to_string());
-            return refusal.after(50);
-        }
-    };
-    server::Refusal::not_run(reason, detail)
-}
-
-fn refused(why: admission::Refused) -> server::Refusal {
-    let detail = why.to_string();
-    match why {
-        admission::Refused::Overloaded { after_ms } => {
-            server::Refusal::not_run(server::Reason::Overloaded, detail).after(after_ms)
-        }
-        admission::Refused::Deadline => server::Refusal::not_run(server::Reason::Deadline, detail),
-        admission::Refused::Moving => {
-            server::Refusal::not_run(server::Reason::Moving, detail).after(50)
-        }
-        admission::Refused::Closed => {
-            server::Refusal::not_run(server::Reason::Moved, detail).after(50)
-        }
-        admission::Refused::Cancelled => {
-            server::Refusal::not_run(server::Reason::Cancelled, detail)
-        }
-        admission::Refused::QueueFull => {
-            server::Refusal::not_run(server::Reason::Overloaded, detail).after(100)
-        }
-    }
-}
-
-/// Translates a target's own refusal, which it gives before it runs a request.
-fn target_refused(why: &str, held: Held) -> server::Refusal {
-    let (reason, outcome) = match why {
-        "shed" => (server::Reason::Shed, admission::Outcome::Shed),
-        "cold" => (server::Reason::TargetCold, admission::Outcome::Cold),
-        "deadline" => (server::Reason::Deadline, admission::Outcome::Failed),
-        _ => (server::Reason::Moved, admission::Outcome::Failed),
-    };
-    let elapsed = held.start.elapsed().min(Duration::from_secs(1));
-    held.permit.finish(outcome, elapsed);
-    if matches!(why, "fence" | "grant") {
-        held.keeper.renew_now();
+/// Returns what a target's answer says of its load.
+fn outcome(status: http::StatusCode, headers: &http::HeaderMap) -> admission::Outcome {
+    let cold = headers
+        .get(&header::TARGET_STATE)
+        .is_some_and(|state| state == "cold");
+    // A run that the target stopped does not tell how long a whole one takes.
+    let stopped = status == http::StatusCode::GATEWAY_TIMEOUT;
+    match (cold, stopped) {
+        (true, _) => admission::Outcome::Cold,
+        (false, true) => admission::Outcome::Failed,
+        (false, false) => admission::Outcome::Success,
     }
-    let detail = format!("the target refused: {why}");
-    server::Refusal::not_run(reason, detail).after(20)
 }
