Record leases from one place

Takeovers, received leases and new backups each built the lease records, waited for the decisions and told the lease table of them. propose_leases does it for the three; the waits for the log, 1 s and 2 s, stay with the callers.

--- a/src/daemon/handover.rs
+++ b/src/daemon/handover.rs
@@ -14,7 +14,6 @@
 use crate::model;
 use crate::peer;
 use crate::server;
-use crate::state;
 use crate::tables;
 
 /// Longest time for one call to another daemon.
@@ -201,20 +200,9 @@
         if due.is_empty() {
             return;
         }
-        let state = self.journal.state();
-        let bodies = due.iter().map(|proposal| state::Body::Lease {
-            target: proposal.target.clone(),
-            prior: Some(proposal.prior),
-            holder: self.me,
-            backup: None,
-            span: proposal.span,
-        });
-        let decisions = self
-            .journal
-            .propose_all(bodies.collect(), state.next, DECISION);
-        for (proposal, decision) in due.iter().zip(decisions) {
-            self.settle(proposal, &decision);
-        }
+        let base = self.journal.state().next;
+        let proposals = due.into_iter().map(|proposal| (proposal, None));
+        self.propose_leases(proposals, base, DECISION);
     }
 }
 
--- a/src/daemon/housekeeper.rs
+++ b/src/daemon/housekeeper.rs
@@ -145,21 +145,7 @@
             return;
         }
         log::info!("naming a new backup for {} leases", proposals.len());
-        let bodies = proposals
-            .iter()
-            .map(|(proposal, backup)| state::Body::Lease {
-                target: proposal.target.clone(),
-                prior: Some(proposal.prior),
-                holder: self.me,
-                backup: *backup,
-                span: proposal.span,
-            });
-        let decisions = self
-            .journal
-            .propose_all(bodies.collect(), state.next, DECISION);
-        for ((proposal, _), decision) in proposals.iter().zip(decisions) {
-            self.settle(proposal, &decision);
-        }
+        self.propose_leases(proposals, state.next, DECISION);
     }
 
     fn balance_leases(&self, state: &state::State) {
--- a/src/daemon/steward.rs
+++ b/src/daemon/steward.rs
@@ -207,20 +207,34 @@
         let state = self.journal.state();
         self.metrics.takeovers.inc_by(due.len() as u64);
         log::warn!("taking over {} leases from a silent holder", due.len());
-        let bodies = due.iter().map(|proposal| {
+        let proposals = due.into_iter().map(|proposal| {
             let holder = state.leases.get(&proposal.target).map(|lease| lease.holder);
-            state::Body::Lease {
+            let backup = membership::backup_for(&state, self.me, holder.as_slice());
+            (proposal, backup)
+        });
+        self.propose_leases(proposals, state.next, DECISION);
+    }
+
+    /// Records leases held by this daemon, each with its backup, waits for the
+    /// log's decisions and tells the lease table of them.
+    pub(super) fn propose_leases(
+        &self,
+        proposals: impl IntoIterator<Item = (lease::Proposal, Option<model::Incarnation>)>,
+        base: model::Offset,
+        wait: Duration,
+    ) {
+        let proposals: Vec<_> = proposals.into_iter().collect();
+        let bodies = proposals
+            .iter()
+            .map(|(proposal, backup)| state::Body::Lease {
                 target: proposal.target.clone(),
                 prior: Some(proposal.prior),
                 holder: self.me,
-                backup: membership::backup_for(&state, self.me, holder.as_slice()),
+                backup: *backup,
                 span: proposal.span,
-            }
-        });
-        let decisions = self
-            .journal
-            .propose_all(bodies.collect(), state.next, DECISION);
-        for (proposal, decision) in due.iter().zip(decisions) {
+            });
+        let decisions = self.journal.propose_all(bodies.collect(), base, wait);
+        for ((proposal, _), decision) in proposals.iter().zip(decisions) {
             self.settle(proposal, &decision);
         }
     }
