Call other daemons from one place

Four modules built the same HTTP client with another time limit, and three read an answer with a size limit. peer::call has both; limits stay with the callers. The clients of the log, of targets and of the admin port keep their own: they set other options.

--- a/src/daemon/handover.rs
+++ b/src/daemon/handover.rs
@@ -209,12 +209,7 @@
 /// Sends a message until the other daemon has accepted or refused it.
 fn send(to: SocketAddr, path: &str, message: &impl serde::Serialize) -> Result<(), Error> {
     let body = peer::encode(message)?;
-    let config = ureq::Agent::config_builder()
-        .max_redirects(0)
-        .proxy(None)
-        .timeout_global(Some(CALL))
-        .build();
-    let agent = config.new_agent();
+    let agent = peer::call::agent(CALL);
     let url = format!("http://{to}{path}");
     let end = clock::now() + SEND;
     loop {
--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -11,7 +11,7 @@
 use crate::forward;
 use crate::journal;
 use crate::model;
-use crate::peer;
+use crate::peer::{self, call};
 use crate::server;
 use crate::state;
 use crate::tables;
@@ -169,14 +169,9 @@
     /// Returns a source that asks the daemons of the newest state, and those
     /// named in the settings.
     pub fn new(shared: Arc<tables::Shared>) -> Self {
-        let config = ureq::Agent::config_builder()
-            .max_redirects(0)
-            .proxy(None)
-            .timeout_global(Some(CALL))
-            .build();
         Self {
             shared,
-            agent: config.new_agent(),
+            agent: call::agent(CALL),
         }
     }
 
@@ -198,16 +193,9 @@
 
     fn get(&self, path: &str) -> Vec<Vec<u8>> {
         let addresses = self.addresses();
-        let calls = addresses.into_iter().filter_map(|address| {
-            let response = self.agent.get(format!("http://{address}{path}")).call();
-            let mut response = response.ok()?;
-            response
-                .body_mut()
-                .with_config()
-                .limit(REPLY_BYTES)
-                .read_to_vec()
-                .ok()
-        });
+        let addresses = addresses.into_iter();
+        let calls =
+            addresses.filter_map(|address| call::get(&self.agent, address, path, REPLY_BYTES).ok());
         calls.take(2).collect()
     }
 }
--- a/src/daemon/served.rs
+++ b/src/daemon/served.rs
@@ -10,7 +10,7 @@
 
 use crate::admin::status;
 use crate::model;
-use crate::peer;
+use crate::peer::{self, call};
 use crate::placement;
 use crate::state;
 use crate::tables;
@@ -107,13 +107,7 @@
 }
 
 fn ask(host: &state::Host) -> Option<status::Status> {
-    let config = ureq::Agent::config_builder()
-        .max_redirects(0)
-        .proxy(None)
-        .timeout_global(Some(ASK))
-        .build();
-    let url = format!("http://{}/peer/status", host.peer);
-    let mut response = config.new_agent().get(url).call().ok()?;
-    let body = response.body_mut().with_config().limit(REPLY_BYTES);
-    peer::decode(&body.read_to_vec().ok()?).ok()
+    let agent = call::agent(ASK);
+    let body = call::get(&agent, host.peer, "/peer/status", REPLY_BYTES).ok()?;
+    peer::decode(&body).ok()
 }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -5,8 +5,9 @@
 //! [`Resignation`], [`StateReply`] and [`RecordsReply`]; all
 //! are rmp-serde with named fields, of which a reader ignores those it does
 //! not know, and takes the default for those that an older writer left out.
-//! [`fleet`] asks all daemons the same question.
+//! [`call`] makes the calls, and [`fleet`] asks all daemons the same question.
 
+pub mod call;
 mod datagram;
 pub mod fleet;
 mod handover;
--- a/src/peer/fleet.rs
+++ b/src/peer/fleet.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::model;
-use crate::peer;
+use crate::peer::{self, call};
 use crate::state;
 
 /// Longest time for one daemon's answer.
@@ -53,7 +53,7 @@
 {
     let up = state.hosts.iter().filter(|(_, host)| host.gone.is_none());
     let others: Vec<_> = up.filter(|(id, _)| **id != me).collect();
-    let agent = agent();
+    let agent = call::agent(CALL);
     let end = Instant::now() + ROUND;
     let next = AtomicUsize::new(0);
     let results = Mutex::new(Vec::with_capacity(others.len()));
@@ -96,16 +96,7 @@
 /// # Errors
 /// Says why there is no answer.
 pub fn ask_one<T: DeserializeOwned>(host: &state::Host, path: &str) -> Result<T, String> {
-    get(&agent(), host, path)
-}
-
-fn agent() -> ureq::Agent {
-    let config = ureq::Agent::config_builder()
-        .max_redirects(0)
-        .proxy(None)
-        .timeout_global(Some(CALL))
-        .build();
-    config.new_agent()
+    get(&call::agent(CALL), host, path)
 }
 
 fn get<T: DeserializeOwned>(
@@ -113,9 +104,7 @@
     host: &state::Host,
     path: &str,
 ) -> Result<T, String> {
-    let response = agent.get(format!("http://{}{path}", host.peer)).call();
-    let mut response = response.map_err(|error| error.to_string())?;
-    let body = response.body_mut().with_config().limit(REPLY_BYTES);
-    let body = body.read_to_vec().map_err(|error| error.to_string())?;
+    let body = call::get(agent, host.peer, path, REPLY_BYTES);
+    let body = body.map_err(|error| error.to_string())?;
     peer::decode(&body).map_err(|error| error.to_string())
 }
