Look up daemons that are up from one place

State::up_hosts and State::is_up replace six copies of the test whether a daemon is gone. What differs stays: route::resolve also wants the domain in, and lease::table takes an unknown daemon for not gone.

--- a/src/admin/confirm.rs
+++ b/src/admin/confirm.rs
@@ -103,8 +103,7 @@
 fn obstacles(shared: &tables::Shared, plan: &state::plan::Plan) -> Vec<String> {
     // The last change of an object is known for certain only from the plan's
     // base on; later ones are conflicts, which the fold finds.
-    let before = model::Offset(plan.base.0.saturating_sub(1));
-    let state = shared.journal.wait_beyond(before, CATCH_UP);
+    let state = shared.journal.wait_for(plan.base, CATCH_UP);
     if !shared.journal.is_usable() || state.next < plan.base {
         let next = state.next;
         return vec![format!(
--- a/src/admin/guard.rs
+++ b/src/admin/guard.rs
@@ -86,8 +86,8 @@
     needed: &Guarded,
     answers: &fleet::Answers<peer::OffsetReply>,
 ) -> Vec<String> {
-    let up = state.hosts.iter().filter(|(_, host)| host.gone.is_none());
-    up.filter_map(|(id, host)| lacks(*id, host, needed, answers))
+    let up = state.up_hosts();
+    up.filter_map(|(id, host)| lacks(id, host, needed, answers))
         .collect()
 }
 
--- a/src/daemon/handover.rs
+++ b/src/daemon/handover.rs
@@ -180,8 +180,7 @@
             return Err(lease::Refused::Leaving);
         }
         self.journal.note_end(message.seen);
-        let before = model::Offset(message.seen.0.saturating_sub(1));
-        let state = self.journal.wait_beyond(before, CATCH_UP);
+        let state = self.journal.wait_for(message.seen, CATCH_UP);
         let handed = lease::Handed::from(message);
         {
             let mut leases = self.leases.lock();
--- a/src/daemon/housekeeper.rs
+++ b/src/daemon/housekeeper.rs
@@ -250,10 +250,7 @@
             let Some((target, lease)) = mine else {
                 return true;
             };
-            let successor = lease.backup.filter(|id| {
-                let host = state.hosts.get(id);
-                host.is_some_and(|host| host.gone.is_none())
-            });
+            let successor = lease.backup.filter(|id| state.is_up(*id));
             let Some(holder) = successor.or_else(|| membership::backup_for(&state, self.me, &[]))
             else {
                 return true;
--- a/src/daemon/membership.rs
+++ b/src/daemon/membership.rs
@@ -101,10 +101,6 @@
     next(own.map(|(id, _)| *id).collect()).or_else(|| next(near.map(|(id, _)| *id).collect()))
 }
 
-fn is_gone(state: &state::State, id: model::Incarnation) -> bool {
-    state.hosts.get(&id).is_none_or(|host| host.gone.is_some())
-}
-
 /// Returns how many leases each daemon holds.
 pub fn held(state: &state::State) -> BTreeMap<model::Incarnation, usize> {
     let mut held = BTreeMap::new();
@@ -138,7 +134,8 @@
     for target in state.config.targets.values() {
         let lease = state.leases.get(&target.name);
         let abandoned = |lease: &state::Lease| {
-            is_gone(state, lease.holder) && lease.backup.is_none_or(|backup| is_gone(state, backup))
+            let up = |id| state.is_up(id);
+            !up(lease.holder) && !lease.backup.is_some_and(up)
         };
         if lease.is_some_and(|lease| !abandoned(lease)) {
             continue;
--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -91,8 +91,8 @@
         })?;
         if self.journal.state().next < route.offset {
             self.journal.note_end(route.offset);
-            let before = model::Offset(route.offset.0.saturating_sub(1));
-            self.journal.wait_beyond(before, clock::duration(CATCH_UP));
+            self.journal
+                .wait_for(route.offset, clock::duration(CATCH_UP));
         }
         let mut body = std::mem::replace(
             &mut request.body,
@@ -177,10 +177,7 @@
 
     fn addresses(&self) -> Vec<SocketAddr> {
         let state = self.shared.journal.state();
-        let up = state
-            .hosts
-            .iter()
-            .filter(|(id, host)| **id != self.shared.me && host.gone.is_none());
+        let up = state.up_hosts().filter(|(id, _)| *id != self.shared.me);
         let near = |host: &&state::Host| host.domain == self.shared.settings.domain;
         let mut hosts: Vec<_> = up.map(|(_, host)| host).collect();
         hosts.sort_by_key(|host| !near(host));
--- a/src/journal.rs
+++ b/src/journal.rs
@@ -169,6 +169,12 @@
         self.state()
     }
 
+    /// Waits until the state has the records before `next` or `timeout` has
+    /// passed, and returns the newest state.
+    pub fn wait_for(&self, next: model::Offset, timeout: Duration) -> Arc<state::State> {
+        self.wait_beyond(model::Offset(next.0.saturating_sub(1)), timeout)
+    }
+
     /// Returns the stored records from `from` on, at most `max`, if they are still kept here.
     pub fn recent(
         &self,
--- a/src/peer/fleet.rs
+++ b/src/peer/fleet.rs
@@ -51,8 +51,7 @@
 where
     T: DeserializeOwned + Send,
 {
-    let up = state.hosts.iter().filter(|(_, host)| host.gone.is_none());
-    let others: Vec<_> = up.filter(|(id, _)| **id != me).collect();
+    let others: Vec<_> = state.up_hosts().filter(|(id, _)| *id != me).collect();
     let agent = call::agent(CALL);
     let end = Instant::now() + ROUND;
     let next = AtomicUsize::new(0);
@@ -63,7 +62,7 @@
                 true => get(&agent, host, path),
                 false => Err(format!("not asked within {} s", ROUND.as_secs())),
             };
-            results.lock().push((**id, *host, answer));
+            results.lock().push((*id, *host, answer));
         }
     };
     std::thread::scope(|scope| {
--- a/src/state/fold.rs
+++ b/src/state/fold.rs
@@ -255,6 +255,13 @@
         named || !up
     }
 
+    /// Returns the daemons that have announced themselves and are not gone, in
+    /// the order of their incarnations.
+    pub fn up_hosts(&self) -> impl Iterator<Item = (model::Incarnation, &Host)> {
+        let hosts = self.hosts.iter().map(|(id, host)| (*id, host));
+        hosts.filter(|(_, host)| host.gone.is_none())
+    }
+
     /// Returns whether a daemon has announced itself and is not gone.
     pub fn is_up(&self, daemon: model::Incarnation) -> bool {
         let host = self.hosts.get(&daemon);
--- a/src/state/plan/effects.rs
+++ b/src/state/plan/effects.rs
@@ -157,8 +157,7 @@
             .get(name)
             .map(|domain| domain.standing);
         if domain.standing == Standing::Out && was == Some(Standing::In) {
-            let hosts = before.hosts.values();
-            let up = hosts.filter(|host| host.domain == *name && host.gone.is_none());
+            let up = before.up_hosts().filter(|(_, host)| host.domain == *name);
             warnings.push(format!(
                 "{} daemons run in failure domain {name}; one that is cut off from the log and \
                  from its peers admits work until it is told at the host",
