Encode answers to other daemons in one place

admin and daemon::peers both turned an encoded answer into a response; admin now returns the bytes. A body that is held whole, the decoding of a hand-over message, and the step by which a holder prepares a record each stood two or three times.

--- a/src/admin.rs
+++ b/src/admin.rs
@@ -66,21 +66,18 @@
     }
 }
 
-/// Answers another daemon that gathers the answers of all.
-pub fn serve_peer(shared: &tables::Shared, request: &server::Request) -> server::Response {
+/// Answers another daemon that gathers the answers of all; `None` if there is
+/// no such question.
+pub fn answer_peer(
+    shared: &tables::Shared,
+    request: &server::Request,
+) -> Option<Result<Vec<u8>, peer::Error>> {
     let query = request.query().unwrap_or_default();
-    let encoded = match request.path() {
-        "/peer/status" => peer::encode(&status::status(shared)),
-        "/peer/burn" => peer::encode(&counts(shared)),
-        "/peer/request" => peer::encode(&shared.recent.find(query)),
-        _ => return server::Response::empty(http::StatusCode::NOT_FOUND),
-    };
-    match encoded {
-        Ok(body) => server::Response::whole(http::StatusCode::OK, body),
-        Err(error) => {
-            log::error!("a reply to another daemon could not be written: {error}");
-            server::Response::empty(http::StatusCode::INTERNAL_SERVER_ERROR)
-        }
+    match request.path() {
+        "/peer/status" => Some(peer::encode(&status::status(shared))),
+        "/peer/burn" => Some(peer::encode(&counts(shared))),
+        "/peer/request" => Some(peer::encode(&shared.recent.find(query))),
+        _ => None,
     }
 }
 
--- a/src/daemon/attempt.rs
+++ b/src/daemon/attempt.rs
@@ -6,6 +6,8 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use bytes::Bytes;
+
 use crate::clock;
 use crate::daemon::header;
 use crate::daemon::hold;
@@ -246,3 +248,11 @@
         Ok(response)
     }
 }
+
+/// Returns what is sent of a body that is held whole.
+pub fn content(body: &Bytes) -> forward::Content<'_> {
+    match body.is_empty() {
+        true => forward::Content::Empty,
+        false => forward::Content::Whole(body),
+    }
+}
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -5,7 +5,7 @@
 use std::time::Instant;
 
 use crate::clock;
-use crate::daemon::attempt::Call;
+use crate::daemon::attempt::{self, Call};
 use crate::daemon::header;
 use crate::daemon::recall;
 use crate::daemon::refusal;
@@ -151,12 +151,8 @@
         let token = &call.request.token;
         let (ended, other) = match &held {
             Some(data) if shared && tried.is_empty() => self.attempt_hedged(view, call, aim, data),
-            Some(data) if data.is_empty() => {
-                let content = forward::Content::Empty;
-                (self.attempt(view, call, aim, content, token), None)
-            }
             Some(data) => {
-                let content = forward::Content::Whole(data);
+                let content = attempt::content(data);
                 (self.attempt(view, call, aim, content, token), None)
             }
             None => {
--- a/src/daemon/handover.rs
+++ b/src/daemon/handover.rs
@@ -96,9 +96,7 @@
 
     /// Notes that the backup of a lease held here has resigned.
     pub(super) fn receive_resignation(&self, request: &server::Request) -> server::Response {
-        let body = request.body.held();
-        let message = body.and_then(|body| peer::decode::<peer::Resignation>(body).ok());
-        let Some(message) = message else {
+        let Some(message) = decoded::<peer::Resignation>(request) else {
             return server::Response::empty(http::StatusCode::BAD_REQUEST);
         };
         let (target, lease) = (&message.target, message.lease);
@@ -158,9 +156,7 @@
 
     /// Takes a lease that its holder has given up in favour of this daemon.
     pub(super) fn receive_lease(self: &Arc<Self>, request: &server::Request) -> server::Response {
-        let body = request.body.held();
-        let message = body.and_then(|body| peer::decode::<peer::Surrender>(body).ok());
-        let Some(message) = message else {
+        let Some(message) = decoded::<peer::Surrender>(request) else {
             return server::Response::empty(http::StatusCode::BAD_REQUEST);
         };
         let (target, lease) = (message.target.clone(), message.lease);
@@ -205,6 +201,10 @@
     }
 }
 
+fn decoded<T: serde::de::DeserializeOwned>(request: &server::Request) -> Option<T> {
+    peer::decode(request.body.held()?).ok()
+}
+
 /// Sends a message until the other daemon has accepted or refused it.
 fn send(to: SocketAddr, path: &str, message: &impl serde::Serialize) -> Result<(), Error> {
     let body = peer::encode(message)?;
--- a/src/daemon/hedge.rs
+++ b/src/daemon/hedge.rs
@@ -55,7 +55,7 @@
         };
         shared.metrics.extra.inc();
         let tie = self.abort.fire_with(&self.call.request.token);
-        let content = content(&self.body);
+        let content = attempt::content(&self.body);
         let mut ended = shared.attempt(&view, &self.call, aim, content, self.abort.token());
         ended.result = ended.result.map(|response| tied(response, tie));
         let answered = ended.result.is_ok();
@@ -102,7 +102,10 @@
             Some(at) => self.run_race(view, call, aim, body, at),
             None => {
                 let token = &call.request.token;
-                (self.attempt(view, call, aim, content(body), token), None)
+                (
+                    self.attempt(view, call, aim, attempt::content(body), token),
+                    None,
+                )
             }
         };
         if ended.0.result.is_ok() {
@@ -131,7 +134,7 @@
         };
         let tie = abort.fire_with(&call.request.token);
         let armed = self.hedges.arm(at, move || second.submit());
-        let mut first = self.attempt(view, call, aim, content(body), abort.token());
+        let mut first = self.attempt(view, call, aim, attempt::content(body), abort.token());
         drop(armed);
         let left = call.deadline.since(clock::now()) + attempt::ANSWER_MARGIN;
         let end = Instant::now() + clock::duration(left);
@@ -168,13 +171,6 @@
     }
 }
 
-fn content(body: &Bytes) -> forward::Content<'_> {
-    match body.is_empty() {
-        true => forward::Content::Empty,
-        false => forward::Content::Whole(body),
-    }
-}
-
 /// A streamed body that is aborted when the caller is gone.
 struct Tied {
     reader: Box<dyn Read + Send>,
--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -6,6 +6,7 @@
 
 use crate::admin;
 use crate::clock;
+use crate::daemon::attempt;
 use crate::daemon::header;
 use crate::daemon::hold;
 use crate::forward;
@@ -39,13 +40,16 @@
         match request.path() {
             "/peer/state" => self.state_reply(),
             "/peer/records" => self.records_reply(request.query()),
-            "/peer/offset" => encoded(&peer::OffsetReply {
+            "/peer/offset" => encoded(peer::encode(&peer::OffsetReply {
                 from: self.me,
                 next: self.running.oldest(self.journal.state().next),
-            }),
+            })),
             "/peer/lease" => self.receive_lease(&request),
             "/peer/backup" => self.receive_resignation(&request),
-            _ => admin::serve_peer(self, &request),
+            _ => match admin::answer_peer(self, &request) {
+                Some(answer) => encoded(answer),
+                None => server::Response::empty(http::StatusCode::NOT_FOUND),
+            },
         }
     }
 
@@ -54,12 +58,12 @@
             return server::Response::empty(http::StatusCode::SERVICE_UNAVAILABLE);
         }
         let state = self.journal.state();
-        encoded(&peer::StateReply {
+        encoded(peer::encode(&peer::StateReply {
             from: self.me,
             next: state.next,
             least: state::FORMAT,
             snapshot: peer::Blob(state::snapshot::to_bytes(&state)),
-        })
+        }))
     }
 
     fn records_reply(&self, query: Option<&str>) -> server::Response {
@@ -73,12 +77,12 @@
             offset,
             data: peer::Blob(data.to_vec()),
         });
-        encoded(&peer::RecordsReply {
+        encoded(peer::encode(&peer::RecordsReply {
             from: self.me,
             first: from,
             next: self.journal.state().next,
             records: records.collect(),
-        })
+        }))
     }
 
     fn serve_forwarded(
@@ -101,8 +105,7 @@
         let held = body.held().cloned();
         let length = body.length();
         let content = match &held {
-            Some(data) if data.is_empty() => forward::Content::Empty,
-            Some(data) => forward::Content::Whole(data),
+            Some(data) => attempt::content(data),
             None => forward::Content::Stream(&mut body, length),
         };
         let headers = request.headers.clone();
@@ -219,8 +222,9 @@
     }
 }
 
-fn encoded(reply: &impl serde::Serialize) -> server::Response {
-    match peer::encode(reply) {
+/// Returns the response with an encoded reply.
+fn encoded(reply: Result<Vec<u8>, peer::Error>) -> server::Response {
+    match reply {
         Ok(body) => server::Response::whole(http::StatusCode::OK, body),
         Err(error) => {
             log::error!("a reply to another daemon could not be written: {error}");
--- a/src/lease/holder.rs
+++ b/src/lease/holder.rs
@@ -191,10 +191,7 @@
         if held.received.is_some() {
             return Err(Denied::Undecided);
         }
-        held.sole = false;
-        held.phase = Phase::Replacing;
-        held.pending += 1;
-        Ok(proposal(target, held, now))
+        Ok(propose(target, held, now, Phase::Replacing))
     }
 
     /// Stops acting for `target` and prepares a record that names a new
@@ -211,10 +208,7 @@
         if held.received.is_some() {
             return Err(Denied::Undecided);
         }
-        held.sole = false;
-        held.phase = Phase::Released;
-        held.pending += 1;
-        Ok(proposal(target, held, now))
+        Ok(propose(target, held, now, Phase::Released))
     }
 
     /// Stops acting for all targets, and returns the time from which the
@@ -334,7 +328,11 @@
     }
 }
 
-fn proposal(target: &model::TargetName, held: &Held, now: Millis) -> Proposal {
+/// Goes over to `phase` until the log has decided on the returned proposal.
+fn propose(target: &model::TargetName, held: &mut Held, now: Millis, phase: Phase) -> Proposal {
+    held.sole = false;
+    held.phase = phase;
+    held.pending += 1;
     Proposal {
         target: target.clone(),
         prior: held.offset,
