Use the field's usual names in daemon and tables

steward means the gateway's leader everywhere else; the daemon's threads that keep and take over leases are now in daemon::leases, and the thread is named takeovers. recall, which counts and keeps requests that have ended, is accounting. An attempt has a destination (aim), and a detour a recipient (seat, which also named the places of waiting requests). The housekeeper runs rounds.

The field module of the log lines about takeovers reads pistachiomoor::daemon::leases from now on.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,5 +1,6 @@
 //! The process: wires the modules together and owns the worker pools.
 
+mod accounting;
 mod attempt;
 mod balancer;
 mod cover;
@@ -10,14 +11,13 @@
 mod hold;
 mod housekeeper;
 mod keeper;
+mod leases;
 pub mod membership;
 mod peers;
 pub mod race;
-mod recall;
 mod refusal;
 pub mod retry;
 mod served;
-mod steward;
 
 use std::io;
 use std::net::{SocketAddr, TcpListener};
@@ -181,14 +181,14 @@
             .spawn(run)
             .expect("a thread starts while the daemon does")
     };
-    let (state, steward) = (shared.clone(), shared.clone());
+    let (state, takeovers) = (shared.clone(), shared.clone());
     let (house, balancer) = (shared.clone(), shared.clone());
     let canceller = shared.clone();
     let hedges = shared.settings.policy.hedge.then(|| start_hedges(shared));
     let threads = vec![
         spawn("log", Box::new(move || follower.run())),
         spawn("state", Box::new(move || state.run_follower())),
-        spawn("steward", Box::new(move || steward.run_steward())),
+        spawn("takeovers", Box::new(move || takeovers.run_takeovers())),
         spawn("housekeeper", Box::new(move || house.run_housekeeper())),
         spawn("balancer", Box::new(move || balancer.run_balancer())),
         spawn(
--- a/src/daemon/recall.rs
+++ b/src/daemon/accounting.rs
@@ -1,4 +1,4 @@
-//! What is kept of a caller's request that has ended.
+//! What is counted and kept of a caller's request that has ended.
 
 use std::cell::RefCell;
 use std::sync::Arc;
@@ -10,11 +10,11 @@
 use crate::tables::{self, requests};
 
 /// Result of a caller's request or of one attempt.
-type Answered = Result<server::Response, server::Refusal>;
+pub(super) type Answered = Result<server::Response, server::Refusal>;
 
 impl tables::Shared {
     /// Counts the request for the service-level report and the list of recent ones.
-    pub(super) fn remember(
+    pub(super) fn record(
         &self,
         request: &server::Request,
         id: &str,
--- a/src/daemon/attempt.rs
+++ b/src/daemon/attempt.rs
@@ -39,7 +39,7 @@
 }
 
 /// Where one attempt goes.
-pub struct Aim {
+pub struct Destination {
     /// The target.
     pub target: model::TargetName,
     /// Shard, for keyed services.
@@ -61,26 +61,26 @@
     ///
     /// # Errors
     /// Fails if no target may serve the request.
-    pub fn aim(
+    pub fn destination(
         &self,
         view: &tables::View,
         call: &Call,
         tried: &[model::TargetName],
-    ) -> Result<Aim, server::Refusal> {
+    ) -> Result<Destination, server::Refusal> {
         let group = &call.resolved.group;
         if let Some(key) = call.resolved.key {
             let (shard, owner) = view.state.owner(group, key).ok_or_else(|| {
                 let detail = format!("no target owns this key's shard of {group}");
                 server::Refusal::not_run(server::Reason::NoOwner, detail).after(WAIT)
             })?;
-            return Ok(Aim {
+            return Ok(Destination {
                 target: owner.target.clone(),
                 shard: Some(shard),
                 running: None,
             });
         }
-        let other = self.aim_elsewhere(view, call, tried);
-        let any = || self.aim_elsewhere(view, call, &[]);
+        let other = self.other_destination(view, call, tried);
+        let any = || self.other_destination(view, call, &[]);
         other.or_else(any).ok_or_else(|| {
             let detail = format!("no target of {group} takes work");
             server::Refusal::not_run(server::Reason::NoOwner, detail).after(WAIT)
@@ -88,18 +88,18 @@
     }
 
     /// Returns a target of a shared service that is not among `tried`.
-    pub fn aim_elsewhere(
+    pub fn other_destination(
         &self,
         view: &tables::View,
         call: &Call,
         tried: &[model::TargetName],
-    ) -> Option<Aim> {
+    ) -> Option<Destination> {
         let candidates = view.candidates(&call.resolved.group);
         let (policy, now) = (self.settings.policy.choice, clock::now());
         let running = self
             .choice
             .choose(&candidates, policy, &mut rand::rng(), now, tried)?;
-        Some(Aim {
+        Some(Destination {
             target: running.target().clone(),
             shard: None,
             running: Some(running),
@@ -112,20 +112,20 @@
         self: &Arc<Self>,
         view: &tables::View,
         call: &Call,
-        aim: Aim,
+        destination: Destination,
         content: forward::Content<'_>,
         token: &token::Token,
     ) -> Ended {
         let start = Instant::now();
-        let mut result = self.dispatch(view, call, &aim, content, token);
+        let mut result = self.dispatch(view, call, &destination, content, token);
         let times = (start.duration_since(call.start), call.start.elapsed());
-        let record = outcome::record(&aim, &result, times);
+        let record = outcome::record(&destination, &result, times);
         let outcome = outcome::at_target(&result, call.request.token.is_cancelled());
-        if let Some((running, outcome)) = aim.running.zip(outcome) {
+        if let Some((running, outcome)) = destination.running.zip(outcome) {
             running.finish(clock::now(), outcome, start.elapsed());
         }
         if let Ok(response) = &mut result {
-            self.read_load(&aim.target, response);
+            self.read_load(&destination.target, response);
         }
         Ended { result, record }
     }
@@ -148,27 +148,27 @@
         self: &Arc<Self>,
         view: &tables::View,
         call: &Call,
-        aim: &Aim,
+        destination: &Destination,
         content: forward::Content<'_>,
         token: &token::Token,
     ) -> Result<server::Response, server::Refusal> {
-        let seat = self.detours.seat(&view.state, &aim.target);
-        let seat = seat.ok_or_else(|| {
-            let detail = format!("no daemon holds the lease on {}", aim.target);
+        let recipient = self.detours.recipient(&view.state, &destination.target);
+        let recipient = recipient.ok_or_else(|| {
+            let detail = format!("no daemon holds the lease on {}", destination.target);
             server::Refusal::not_run(server::Reason::Unreachable, detail).after(WAIT)
         })?;
-        if seat.id != self.me {
+        if recipient.id != self.me {
             let sent = (view.state.next, token);
             let length = content.length();
-            let result = self.forward_to(&seat, call, aim, sent, content);
-            let near = view.state.region(&seat.host.domain) == Some(&self.settings.region);
+            let result = self.forward_to(&recipient, call, destination, sent, content);
+            let near = view.state.region(&recipient.host.domain) == Some(&self.settings.region);
             self.count_forwarded(near, length, &result);
             return result;
         }
         let order = hold::Order {
-            target: &aim.target,
+            target: &destination.target,
             group: call.resolved.group.clone(),
-            shard: aim.shard,
+            shard: destination.shard,
             tenant: call.resolved.tenant,
             deadline: call.deadline,
             id: &call.id,
@@ -178,7 +178,10 @@
             token,
         };
         let result = self.execute(&order, content);
-        result.map_err(|refusal| self.detours.on_refusal(&aim.target, &seat, refusal))
+        result.map_err(|refusal| {
+            self.detours
+                .on_refusal(&destination.target, &recipient, refusal)
+        })
     }
 
     fn count_forwarded(
@@ -200,14 +203,14 @@
 
     fn forward_to(
         &self,
-        seat: &detour::Seat<'_>,
+        recipient: &detour::Recipient<'_>,
         call: &Call,
-        aim: &Aim,
+        destination: &Destination,
         (offset, token): (model::Offset, &token::Token),
         content: forward::Content<'_>,
     ) -> Result<server::Response, server::Refusal> {
         let left = refusal::time_left(call.deadline, clock::now())?;
-        let extra = headers::for_holder(call, aim, offset, left);
+        let extra = headers::for_holder(call, destination, offset, left);
         let outbound = forward::Outbound {
             method: &call.request.method,
             path: &call.request.target,
@@ -217,7 +220,7 @@
         };
         let timeout = clock::duration(left + ANSWER_MARGIN);
         let abort = forward::Abort::from(token.clone());
-        let peer = seat.host.peer;
+        let peer = recipient.host.peer;
         let mut inbound = self
             .forward
             .send(peer, outbound, timeout, || true, &abort)
@@ -225,11 +228,14 @@
                 if failure.cause == forward::Cause::Timeout && failure.reused {
                     self.forward.reset(peer);
                 }
-                self.detours.on_failure(&aim.target, seat, &failure);
-                refusal::from_holder_failure(&aim.target, &failure)
+                self.detours
+                    .on_failure(&destination.target, recipient, &failure);
+                refusal::from_holder_failure(&destination.target, &failure)
             })?;
         if let Some(refusal) = server::Refusal::from_response(inbound.status, &inbound.headers) {
-            return Err(self.detours.on_refusal(&aim.target, seat, refusal));
+            return Err(self
+                .detours
+                .on_refusal(&destination.target, recipient, refusal));
         }
         let small = inbound
             .body
--- a/src/daemon/attempt/headers.rs
+++ b/src/daemon/attempt/headers.rs
@@ -2,7 +2,7 @@
 
 use http::{HeaderName, HeaderValue};
 
-use crate::daemon::attempt::{Aim, Call};
+use crate::daemon::attempt::{Call, Destination};
 use crate::daemon::header;
 use crate::model;
 
@@ -11,14 +11,17 @@
 /// the deadline, in milliseconds.
 pub fn for_holder(
     call: &Call,
-    aim: &Aim,
+    destination: &Destination,
     offset: model::Offset,
     left: u64,
 ) -> Vec<(HeaderName, HeaderValue)> {
     let mut extra = vec![
         (header::REQUEST_ID, header::value(&call.id)),
         (header::TIMEOUT, HeaderValue::from(left)),
-        (header::ROUTE_TARGET, header::value(aim.target.as_str())),
+        (
+            header::ROUTE_TARGET,
+            header::value(destination.target.as_str()),
+        ),
         (
             header::ROUTE_GROUP,
             header::value(&call.resolved.group.to_string()),
@@ -29,7 +32,7 @@
         ),
         (header::ROUTE_OFFSET, HeaderValue::from(offset.0)),
     ];
-    if let Some(shard) = aim.shard {
+    if let Some(shard) = destination.shard {
         extra.push((header::ROUTE_SHARD, header::value(&shard.to_string())));
     }
     extra
--- a/src/daemon/attempt/outcome.rs
+++ b/src/daemon/attempt/outcome.rs
@@ -2,15 +2,12 @@
 
 use std::time::Duration;
 
-use crate::daemon::attempt::Aim;
-use crate::daemon::recall;
+use crate::daemon::accounting::{self, Answered};
+use crate::daemon::attempt::Destination;
 use crate::route::choice;
 use crate::server;
 use crate::tables::requests;
 
-/// Result of an attempt.
-type Answered = Result<server::Response, server::Refusal>;
-
 /// Returns what an attempt says of its target. `None`, if the caller is `gone`,
 /// counts it as abandoned.
 pub fn at_target(result: &Answered, gone: bool) -> Option<choice::Outcome> {
@@ -27,14 +24,14 @@
 /// Returns the entry for the list of recent requests of an attempt that went
 /// on from `start` to `end`, both counted from the request's start.
 pub fn record(
-    aim: &Aim,
+    destination: &Destination,
     result: &Answered,
     (start, end): (Duration, Duration),
 ) -> requests::Attempt {
-    let (outcome, reason) = recall::outcome(result);
+    let (outcome, reason) = accounting::outcome(result);
     requests::Attempt {
-        target: aim.target.clone(),
-        shard: aim.shard,
+        target: destination.target.clone(),
+        shard: destination.shard,
         outcome: outcome.into(),
         reason: reason.into(),
         start_us: start.as_micros() as u64,
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -5,9 +5,9 @@
 use std::time::Instant;
 
 use crate::clock;
+use crate::daemon::accounting;
 use crate::daemon::attempt::{self, Call};
 use crate::daemon::header;
-use crate::daemon::recall;
 use crate::daemon::refusal;
 use crate::daemon::retry;
 use crate::forward;
@@ -48,8 +48,8 @@
         let request = Arc::new(request);
         let arrived = (start, &request, &id);
         let result = self.route_call(arrived, &mut body, &mut service, &trace);
-        self.report(&request, &id, service.as_ref(), &result, start);
-        self.remember(&request, &id, service.as_ref(), &result, (start, trace));
+        self.count(&request, &id, service.as_ref(), &result, start);
+        self.record(&request, &id, service.as_ref(), &result, (start, trace));
         let mut response = result.unwrap_or_else(server::Response::from);
         response
             .headers
@@ -107,9 +107,9 @@
                 Ok(response) => return Ok(response),
                 Err(refusal) => refusal,
             };
-            let situation = situate(call, body, &progress, &refusal);
+            let refused = situation(call, body, &progress, &refusal);
             let token = &call.request.token;
-            match retry::decide(&situation, || self.budget.take(clock::now())) {
+            match retry::decide(&refused, || self.budget.take(clock::now())) {
                 // An earlier attempt may have run, whatever became of the last one.
                 retry::Next::Refuse => return Err(progress.unknown.unwrap_or(refusal)),
                 retry::Next::Again(pause) => {
@@ -145,19 +145,21 @@
         body: &mut server::Payload,
         (trace, tried): (&RefCell<requests::Trace>, &mut Vec<model::TargetName>),
     ) -> Result<server::Response, server::Refusal> {
-        let aim = self.aim(view, call, tried)?;
-        let shared = aim.running.is_some();
+        let destination = self.destination(view, call, tried)?;
+        let shared = destination.running.is_some();
         let (held, length) = (body.held().cloned(), body.length());
         let token = &call.request.token;
         let (ended, other) = match &held {
-            Some(data) if shared && tried.is_empty() => self.attempt_hedged(view, call, aim, data),
+            Some(data) if shared && tried.is_empty() => {
+                self.attempt_hedged(view, call, destination, data)
+            }
             Some(data) => {
                 let content = attempt::content(data);
-                (self.attempt(view, call, aim, content, token), None)
+                (self.attempt(view, call, destination, content, token), None)
             }
             None => {
                 let content = forward::Content::Stream(body, length);
-                (self.attempt(view, call, aim, content, token), None)
+                (self.attempt(view, call, destination, content, token), None)
             }
         };
         for record in other
@@ -173,7 +175,8 @@
         ended.result
     }
 
-    fn report(
+    /// Counts the request in the metrics, and logs it if that is wanted.
+    fn count(
         &self,
         request: &server::Request,
         id: &str,
@@ -182,7 +185,7 @@
         start: Instant,
     ) {
         let elapsed = start.elapsed();
-        let (outcome, reason) = recall::outcome(result);
+        let (outcome, reason) = accounting::outcome(result);
         let name = service.map_or("", |service| service.name.as_str());
         let labels = metrics::Outcome {
             service: name.to_owned(),
@@ -206,7 +209,7 @@
     }
 }
 
-fn situate(
+fn situation(
     call: &Call,
     body: &server::Payload,
     progress: &Progress<'_>,
--- a/src/daemon/hedge.rs
+++ b/src/daemon/hedge.rs
@@ -48,15 +48,15 @@
         let _entered = shared.running.enter(shared.journal.state().next);
         let view = shared.view();
         let first = std::slice::from_ref(&self.first);
-        let aim = shared.aim_elsewhere(&view, &self.call, first);
-        let Some(aim) = aim.filter(|_| self.race.start_second()) else {
+        let destination = shared.other_destination(&view, &self.call, first);
+        let Some(destination) = destination.filter(|_| self.race.start_second()) else {
             shared.budget.give_back();
             return;
         };
         shared.metrics.extra.inc();
         let tie = self.abort.fire_with(&self.call.request.token);
         let content = attempt::content(&self.body);
-        let mut ended = shared.attempt(&view, &self.call, aim, content, self.abort.token());
+        let mut ended = shared.attempt(&view, &self.call, destination, content, self.abort.token());
         ended.result = ended.result.map(|response| tied(response, tie));
         let answered = ended.result.is_ok();
         self.race.end_second(ended, answered);
@@ -93,17 +93,17 @@
         self: &Arc<Self>,
         view: &tables::View,
         call: &Arc<attempt::Call>,
-        aim: attempt::Aim,
+        destination: attempt::Destination,
         body: &Bytes,
     ) -> (attempt::Ended, Option<attempt::Ended>) {
         let delay = self.delay(&call.resolved.service.name);
         let start = Instant::now();
         let ended = match self.second_at(call, &delay) {
-            Some(at) => self.run_race(view, call, aim, body, at),
+            Some(at) => self.run_race(view, call, destination, body, at),
             None => {
                 let token = &call.request.token;
                 (
-                    self.attempt(view, call, aim, attempt::content(body), token),
+                    self.attempt(view, call, destination, attempt::content(body), token),
                     None,
                 )
             }
@@ -118,7 +118,7 @@
         self: &Arc<Self>,
         view: &tables::View,
         call: &Arc<attempt::Call>,
-        aim: attempt::Aim,
+        destination: attempt::Destination,
         body: &Bytes,
         at: Instant,
     ) -> (attempt::Ended, Option<attempt::Ended>) {
@@ -130,11 +130,17 @@
             abort: other,
             call: call.clone(),
             body: body.clone(),
-            first: aim.target.clone(),
+            first: destination.target.clone(),
         };
         let tie = abort.fire_with(&call.request.token);
         let armed = self.hedges.arm(at, move || second.submit());
-        let mut first = self.attempt(view, call, aim, attempt::content(body), abort.token());
+        let mut first = self.attempt(
+            view,
+            call,
+            destination,
+            attempt::content(body),
+            abort.token(),
+        );
         drop(armed);
         let left = call.deadline.since(clock::now()) + attempt::ANSWER_MARGIN;
         let end = Instant::now() + clock::duration(left);
--- a/src/daemon/housekeeper.rs
+++ b/src/daemon/housekeeper.rs
@@ -44,12 +44,12 @@
         let mut memory = Memory::default();
         while !self.token.wait_timeout(ROUND) {
             if self.journal.is_usable() && !self.leaving.load(Ordering::Relaxed) {
-                self.keep_house(&mut memory);
+                self.run_round(&mut memory);
             }
         }
     }
 
-    fn keep_house(self: &Arc<Self>, memory: &mut Memory) {
+    fn run_round(self: &Arc<Self>, memory: &mut Memory) {
         let state = self.journal.state();
         let known = state.hosts.get(&self.me);
         if known.is_none_or(|host| host.silent.is_some()) {
--- a/src/daemon/steward.rs
+++ b/src/daemon/leases.rs
@@ -154,7 +154,7 @@
 
     /// Takes over leases whose holder is silent, and reads the log for the
     /// right where the backup is.
-    pub fn run_steward(self: &Arc<Self>) {
+    pub fn run_takeovers(self: &Arc<Self>) {
         let mut last = clock::Millis::default();
         while !self.token.wait_timeout(LOOK) {
             let now = clock::now();
--- a/src/tables/detour.rs
+++ b/src/tables/detour.rs
@@ -20,7 +20,7 @@
 pub struct Detours(RwLock<HashMap<model::TargetName, model::Offset>>);
 
 /// Daemon that gets a request for a target.
-pub struct Seat<'a> {
+pub struct Recipient<'a> {
     /// Its incarnation.
     pub id: model::Incarnation,
     /// Its host.
@@ -33,25 +33,25 @@
 
 impl Detours {
     /// Returns the daemon that gets requests for `target`, unless it is gone.
-    pub fn seat<'a>(
+    pub fn recipient<'a>(
         &self,
         state: &'a state::State,
         target: &model::TargetName,
-    ) -> Option<Seat<'a>> {
+    ) -> Option<Recipient<'a>> {
         let lease = state.leases.get(target)?;
-        let seat = |id: model::Incarnation, backup| {
+        let recipient = |id: model::Incarnation, backup| {
             let host = state.hosts.get(&id)?;
-            host.gone.is_none().then_some(Seat {
+            host.gone.is_none().then_some(Recipient {
                 id,
                 host,
                 lease: lease.offset,
                 backup,
             })
         };
-        let turned = self.0.read().get(target) == Some(&lease.offset);
-        let backup = || seat(lease.backup?, true);
-        let holder = || seat(lease.holder, false);
-        match turned {
+        let switched = self.0.read().get(target) == Some(&lease.offset);
+        let backup = || recipient(lease.backup?, true);
+        let holder = || recipient(lease.holder, false);
+        match switched {
             true => backup().or_else(holder),
             false => holder().or_else(backup),
         }
@@ -62,35 +62,35 @@
         self.0.write().insert(target.clone(), lease);
     }
 
-    /// Turns to the other daemon after `seat` was found not to hold the lease.
-    pub fn turn(&self, target: &model::TargetName, seat: &Seat<'_>) {
-        match seat.backup {
-            false => self.note(target, seat.lease),
+    /// Turns to the other daemon after `recipient` was found not to hold the lease.
+    pub fn switch(&self, target: &model::TargetName, recipient: &Recipient<'_>) {
+        match recipient.backup {
+            false => self.note(target, recipient.lease),
             true => {
                 self.0.write().remove(target);
             }
         }
     }
 
-    /// Learns from a failure to reach the daemon at `seat`.
+    /// Learns from a failure to reach the daemon at `recipient`.
     pub fn on_failure(
         &self,
         target: &model::TargetName,
-        seat: &Seat<'_>,
+        recipient: &Recipient<'_>,
         failure: &forward::Failure,
     ) {
         let cancelled = failure.cause == forward::Cause::Cancelled;
         if failure.outcome == forward::Outcome::NotRun && !cancelled {
-            self.turn(target, seat);
+            self.switch(target, recipient);
         }
     }
 
-    /// Learns from a refusal by the daemon at `seat`. The address that it names
+    /// Learns from a refusal by the daemon at `recipient`. The address that it names
     /// is for daemons only and is left out for callers.
     pub fn on_refusal(
         &self,
         target: &model::TargetName,
-        seat: &Seat<'_>,
+        recipient: &Recipient<'_>,
         mut refusal: server::Refusal,
     ) -> server::Refusal {
         let elsewhere = match refusal.reason {
@@ -99,7 +99,7 @@
             _ => false,
         };
         if refusal.outcome == forward::Outcome::NotRun && elsewhere {
-            self.turn(target, seat);
+            self.switch(target, recipient);
         }
         refusal
     }
