Read the lease's fence before the state for a target's headers

The split of the holder's headers had turned the two reads around, and read the state for requests without a shard too. The order is again the one from before: a fence read after the state could be newer than the shard's.

--- a/src/daemon/hold.rs
+++ b/src/daemon/hold.rs
@@ -134,7 +134,12 @@
         permit: admission::Permit,
     ) -> Result<server::Response, server::Refusal> {
         let left = refusal::time_left(order.deadline, clock::now())?;
-        let extra = headers::for_target(&self.journal.state(), order, keeper.fence(), left);
+        let lease = keeper.fence();
+        let owned = order.shard.map(|shard| {
+            let state = self.journal.state();
+            (shard, headers::shard_fence(&state, &order.group, shard))
+        });
+        let extra = headers::for_target(order, lease, owned, left);
         let outbound = forward::Outbound {
             method: order.method,
             path: order.path,
--- a/src/daemon/hold/headers.rs
+++ b/src/daemon/hold/headers.rs
@@ -7,12 +7,23 @@
 use crate::model;
 use crate::state;
 
-/// Returns what a target is told besides the caller's headers, where `left` is
-/// the time until the deadline, in milliseconds.
-pub fn for_target(
+/// Returns the fence of a shard's ownership.
+pub fn shard_fence(
     state: &state::State,
+    group: &model::GroupId,
+    shard: model::Shard,
+) -> model::Fence {
+    let since = state.shard_owner(group, shard).map(|owner| owner.since);
+    model::Fence::at(since.unwrap_or_default())
+}
+
+/// Returns what a target is told besides the caller's headers, where `owned` is
+/// the shard of a keyed service with its fence, and `left` the time until the
+/// deadline, in milliseconds.
+pub fn for_target(
     order: &Order<'_>,
     lease: model::Fence,
+    owned: Option<(model::Shard, model::Fence)>,
     left: u64,
 ) -> Vec<(HeaderName, HeaderValue)> {
     let mut extra = vec![
@@ -20,11 +31,7 @@
         (header::TIMEOUT, HeaderValue::from(left)),
         (header::LEASE_FENCE, header::value(&lease.to_string())),
     ];
-    if let Some(shard) = order.shard {
-        let since = state
-            .shard_owner(&order.group, shard)
-            .map(|owner| owner.since);
-        let fence = model::Fence::at(since.unwrap_or_default());
+    if let Some((shard, fence)) = owned {
         extra.push((header::SHARD_GROUP, header::value(&order.group.to_string())));
         extra.push((header::SHARD, header::value(&shard.to_string())));
         extra.push((header::SHARD_FENCE, header::value(&fence.to_string())));
