--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,9 +1,9 @@
 //! The process: wires the modules together and owns the worker pools.
 
+mod accounting;
 mod attempt;
 mod balancer;
 mod cover;
-mod detour;
 mod entry;
 mod handover;
 mod header;
@@ -11,18 +11,13 @@
 mod hold;
 mod housekeeper;
 mod keeper;
-pub mod load;
+mod leases;
 pub mod membership;
 mod peers;
 pub mod race;
-mod recall;
+mod refusal;
 pub mod retry;
-pub mod running;
 mod served;
-mod shared;
-mod steward;
-
-pub use shared::{Shared, View};
 
 use std::io;
 use std::net::{SocketAddr, TcpListener};
@@ -36,6 +31,7 @@
 use crate::peer;
 use crate::server;
 use crate::settings;
+use crate::tables::{self, hedges};
 use crate::token;
 
 /// Time between `/ready` turning false and the end of listening, in
@@ -65,7 +61,7 @@
 
 /// A running daemon.
 pub struct Daemon {
-    shared: Arc<Shared>,
+    shared: Arc<tables::Shared>,
     callers: server::Server,
     peers: server::Server,
     admin: server::Server,
@@ -79,7 +75,7 @@
     /// Fails if an address can't be listened on.
     pub fn start(settings: settings::Settings) -> Result<Self, StartError> {
         let token = token::Token::new();
-        let shared = Arc::new(Shared::new(settings, token.clone()));
+        let shared = Arc::new(tables::Shared::new(settings, token.clone()));
         let handle = shared.clone();
         let callers = serve(&shared, Port::Caller, move |request| {
             handle.serve_caller(request)
@@ -105,7 +101,7 @@
     }
 
     /// Returns what the daemon's threads share.
-    pub fn shared(&self) -> &Arc<Shared> {
+    pub fn shared(&self) -> &Arc<tables::Shared> {
         &self.shared
     }
 
@@ -137,7 +133,7 @@
 }
 
 fn serve(
-    shared: &Arc<Shared>,
+    shared: &Arc<tables::Shared>,
     port: Port,
     handler: impl server::Handler,
 ) -> Result<server::Server, StartError> {
@@ -172,7 +168,7 @@
     server::Server::start(listener, options, handler, shared.token.child()).map_err(failed)
 }
 
-fn start_threads(shared: &Arc<Shared>) -> Vec<thread::JoinHandle<()>> {
+fn start_threads(shared: &Arc<tables::Shared>) -> Vec<thread::JoinHandle<()>> {
     let follower = journal::Follower::new(
         shared.journal.clone(),
         journal::Client::new(shared.settings.platform.log),
@@ -185,14 +181,14 @@
             .spawn(run)
             .expect("a thread starts while the daemon does")
     };
-    let (state, steward) = (shared.clone(), shared.clone());
+    let (state, takeovers) = (shared.clone(), shared.clone());
     let (house, balancer) = (shared.clone(), shared.clone());
     let canceller = shared.clone();
     let hedges = shared.settings.policy.hedge.then(|| start_hedges(shared));
     let threads = vec![
         spawn("log", Box::new(move || follower.run())),
         spawn("state", Box::new(move || state.run_follower())),
-        spawn("steward", Box::new(move || steward.run_steward())),
+        spawn("takeovers", Box::new(move || takeovers.run_takeovers())),
         spawn("housekeeper", Box::new(move || house.run_housekeeper())),
         spawn("balancer", Box::new(move || balancer.run_balancer())),
         spawn(
@@ -207,10 +203,10 @@
 }
 
 /// Starts the timer and the pool of second attempts.
-fn start_hedges(shared: &Arc<Shared>) -> Vec<thread::JoinHandle<()>> {
+fn start_hedges(shared: &Arc<tables::Shared>) -> Vec<thread::JoinHandle<()>> {
     let timer = shared.clone();
     let run = move || timer.hedges.run_timer(&timer.token);
-    let pool = (0..hedge::THREADS).map(|_| {
+    let pool = (0..hedges::THREADS).map(|_| {
         let shared = shared.clone();
         thread::spawn(move || shared.hedges.run_attempts())
     });
--- a/src/daemon/recall.rs
+++ b/src/daemon/accounting.rs
@@ -1,21 +1,20 @@
-//! What is kept of a caller's request that has ended.
+//! What is counted and kept of a caller's request that has ended.
 
 use std::cell::RefCell;
 use std::sync::Arc;
 use std::time::Instant;
 
-use crate::admin::requests;
 use crate::clock;
-use crate::daemon::shared::Shared;
 use crate::server;
 use crate::state;
+use crate::tables::{self, requests};
 
 /// Result of a caller's request or of one attempt.
-type Answered = Result<server::Response, server::Refusal>;
+pub(super) type Answered = Result<server::Response, server::Refusal>;
 
-impl Shared {
+impl tables::Shared {
     /// Counts the request for the service-level report and the list of recent ones.
-    pub(super) fn remember(
+    pub(super) fn record(
         &self,
         request: &server::Request,
         id: &str,
--- a/src/daemon/attempt.rs
+++ b/src/daemon/attempt.rs
@@ -1,22 +1,23 @@
 //! One attempt to have a caller's request answered by a target's lease holder.
 
+mod headers;
+mod outcome;
+
 use std::sync::Arc;
 use std::time::Instant;
 
-use http::{HeaderName, HeaderValue};
+use bytes::Bytes;
 
-use crate::admin::requests;
 use crate::clock;
-use crate::daemon::detour;
 use crate::daemon::header;
 use crate::daemon::hold;
-use crate::daemon::recall;
+use crate::daemon::refusal;
 use crate::daemon::retry::WAIT;
-use crate::daemon::shared::{Shared, View};
 use crate::forward;
 use crate::model;
 use crate::route;
 use crate::server;
+use crate::tables::{self, detour, requests};
 use crate::token;
 
 /// Time by which the wait for another daemon's answer exceeds the deadline,
@@ -38,7 +39,7 @@
 }
 
 /// Where one attempt goes.
-pub struct Aim {
+pub struct Destination {
     /// The target.
     pub target: model::TargetName,
     /// Shard, for keyed services.
@@ -55,31 +56,31 @@
     pub record: requests::Attempt,
 }
 
-impl Shared {
+impl tables::Shared {
     /// Returns where an attempt goes that avoids the targets `tried`, if others are left.
     ///
     /// # Errors
     /// Fails if no target may serve the request.
-    pub fn aim(
+    pub fn destination(
         &self,
-        view: &View,
+        view: &tables::View,
         call: &Call,
         tried: &[model::TargetName],
-    ) -> Result<Aim, server::Refusal> {
+    ) -> Result<Destination, server::Refusal> {
         let group = &call.resolved.group;
         if let Some(key) = call.resolved.key {
             let (shard, owner) = view.state.owner(group, key).ok_or_else(|| {
                 let detail = format!("no target owns this key's shard of {group}");
                 server::Refusal::not_run(server::Reason::NoOwner, detail).after(WAIT)
             })?;
-            return Ok(Aim {
+            return Ok(Destination {
                 target: owner.target.clone(),
                 shard: Some(shard),
                 running: None,
             });
         }
-        let other = self.aim_elsewhere(view, call, tried);
-        let any = || self.aim_elsewhere(view, call, &[]);
+        let other = self.other_destination(view, call, tried);
+        let any = || self.other_destination(view, call, &[]);
         other.or_else(any).ok_or_else(|| {
             let detail = format!("no target of {group} takes work");
             server::Refusal::not_run(server::Reason::NoOwner, detail).after(WAIT)
@@ -87,18 +88,18 @@
     }
 
     /// Returns a target of a shared service that is not among `tried`.
-    pub fn aim_elsewhere(
+    pub fn other_destination(
         &self,
-        view: &View,
+        view: &tables::View,
         call: &Call,
         tried: &[model::TargetName],
-    ) -> Option<Aim> {
+    ) -> Option<Destination> {
         let candidates = view.candidates(&call.resolved.group);
         let (policy, now) = (self.settings.policy.choice, clock::now());
         let running = self
             .choice
             .choose(&candidates, policy, &mut rand::rng(), now, tried)?;
-        Some(Aim {
+        Some(Destination {
             target: running.target().clone(),
             shard: None,
             running: Some(running),
@@ -109,20 +110,22 @@
     /// answer any more.
     pub fn attempt(
         self: &Arc<Self>,
-        view: &View,
+        view: &tables::View,
         call: &Call,
-        aim: Aim,
+        destination: Destination,
         content: forward::Content<'_>,
         token: &token::Token,
     ) -> Ended {
         let start = Instant::now();
-        let mut result = self.dispatch(view, call, &aim, content, token);
-        let record = record(call, &aim, &result, start);
-        if let Some(running) = aim.running {
-            finish(running, call, &result, start);
+        let mut result = self.dispatch(view, call, &destination, content, token);
+        let times = (start.duration_since(call.start), call.start.elapsed());
+        let record = outcome::record(&destination, &result, times);
+        let outcome = outcome::at_target(&result, call.request.token.is_cancelled());
+        if let Some((running, outcome)) = destination.running.zip(outcome) {
+            running.finish(clock::now(), outcome, start.elapsed());
         }
         if let Ok(response) = &mut result {
-            self.read_load(&aim.target, response);
+            self.read_load(&destination.target, response);
         }
         Ended { result, record }
     }
@@ -143,29 +146,29 @@
 
     fn dispatch(
         self: &Arc<Self>,
-        view: &View,
+        view: &tables::View,
         call: &Call,
-        aim: &Aim,
+        destination: &Destination,
         content: forward::Content<'_>,
         token: &token::Token,
     ) -> Result<server::Response, server::Refusal> {
-        let seat = self.detours.seat(&view.state, &aim.target);
-        let seat = seat.ok_or_else(|| {
-            let detail = format!("no daemon holds the lease on {}", aim.target);
+        let recipient = self.detours.recipient(&view.state, &destination.target);
+        let recipient = recipient.ok_or_else(|| {
+            let detail = format!("no daemon holds the lease on {}", destination.target);
             server::Refusal::not_run(server::Reason::Unreachable, detail).after(WAIT)
         })?;
-        if seat.id != self.me {
+        if recipient.id != self.me {
             let sent = (view.state.next, token);
             let length = content.length();
-            let result = self.forward_to(&seat, call, aim, sent, content);
-            let near = view.state.region(&seat.host.domain) == Some(&self.settings.region);
+            let result = self.forward_to(&recipient, call, destination, sent, content);
+            let near = view.state.region(&recipient.host.domain) == Some(&self.settings.region);
             self.count_forwarded(near, length, &result);
             return result;
         }
         let order = hold::Order {
-            target: &aim.target,
+            target: &destination.target,
             group: call.resolved.group.clone(),
-            shard: aim.shard,
+            shard: destination.shard,
             tenant: call.resolved.tenant,
             deadline: call.deadline,
             id: &call.id,
@@ -175,7 +178,10 @@
             token,
         };
         let result = self.execute(&order, content);
-        result.map_err(|refusal| self.detours.on_refusal(&aim.target, &seat, refusal))
+        result.map_err(|refusal| {
+            self.detours
+                .on_refusal(&destination.target, &recipient, refusal)
+        })
     }
 
     fn count_forwarded(
@@ -197,20 +203,14 @@
 
     fn forward_to(
         &self,
-        seat: &detour::Seat<'_>,
+        recipient: &detour::Recipient<'_>,
         call: &Call,
-        aim: &Aim,
+        destination: &Destination,
         (offset, token): (model::Offset, &token::Token),
         content: forward::Content<'_>,
     ) -> Result<server::Response, server::Refusal> {
-        let left = call.deadline.since(clock::now());
-        if left == 0 {
-            return Err(server::Refusal::not_run(
-                server::Reason::Deadline,
-                "the deadline has passed",
-            ));
-        }
-        let extra = forward_headers(call, aim, offset, left);
+        let left = refusal::time_left(call.deadline, clock::now())?;
+        let extra = headers::for_holder(call, destination, offset, left);
         let outbound = forward::Outbound {
             method: &call.request.method,
             path: &call.request.target,
@@ -220,7 +220,7 @@
         };
         let timeout = clock::duration(left + ANSWER_MARGIN);
         let abort = forward::Abort::from(token.clone());
-        let peer = seat.host.peer;
+        let peer = recipient.host.peer;
         let mut inbound = self
             .forward
             .send(peer, outbound, timeout, || true, &abort)
@@ -228,11 +228,14 @@
                 if failure.cause == forward::Cause::Timeout && failure.reused {
                     self.forward.reset(peer);
                 }
-                self.detours.on_failure(&aim.target, seat, &failure);
-                unanswered(&aim.target, &failure)
+                self.detours
+                    .on_failure(&destination.target, recipient, &failure);
+                refusal::from_holder_failure(&destination.target, &failure)
             })?;
         if let Some(refusal) = server::Refusal::from_response(inbound.status, &inbound.headers) {
-            return Err(self.detours.on_refusal(&aim.target, seat, refusal));
+            return Err(self
+                .detours
+                .on_refusal(&destination.target, recipient, refusal));
         }
         let small = inbound
             .body
@@ -252,85 +255,10 @@
     }
 }
 
-/// Counts the end of an attempt at its target.
-fn finish(
-    running: route::choice::Running,
-    call: &Call,
-    result: &Result<server::Response, server::Refusal>,
-    start: Instant,
-) {
-    let outcome = match result.as_ref().map_err(|refusal| refusal.reason) {
-        Ok(_) => route::choice::Outcome::Answered,
-        Err(server::Reason::Shed | server::Reason::Overloaded | server::Reason::TargetCold) => {
-            route::choice::Outcome::Shed
-        }
-        // Dropping it counts it as abandoned, since the caller went away.
-        Err(server::Reason::Cancelled) if call.request.token.is_cancelled() => return,
-        Err(server::Reason::Cancelled) => route::choice::Outcome::Overtaken,
-        Err(_) => route::choice::Outcome::Failed,
-    };
-    running.finish(clock::now(), outcome, start.elapsed());
-}
-
-fn record(
-    call: &Call,
-    aim: &Aim,
-    result: &Result<server::Response, server::Refusal>,
-    start: Instant,
-) -> requests::Attempt {
-    let (outcome, reason) = recall::outcome(result);
-    requests::Attempt {
-        target: aim.target.clone(),
-        shard: aim.shard,
-        outcome: outcome.into(),
-        reason: reason.into(),
-        start_us: start.duration_since(call.start).as_micros() as u64,
-        end_us: call.start.elapsed().as_micros() as u64,
-    }
-}
-
-fn forward_headers(
-    call: &Call,
-    aim: &Aim,
-    offset: model::Offset,
-    left: u64,
-) -> Vec<(HeaderName, HeaderValue)> {
-    let mut extra = vec![
-        (header::REQUEST_ID, header::value(&call.id)),
-        (header::TIMEOUT, HeaderValue::from(left)),
-        (header::ROUTE_TARGET, header::value(aim.target.as_str())),
-        (
-            header::ROUTE_GROUP,
-            header::value(&call.resolved.group.to_string()),
-        ),
-        (
-            header::ROUTE_TENANT,
-            HeaderValue::from(call.resolved.tenant),
-        ),
-        (header::ROUTE_OFFSET, HeaderValue::from(offset.0)),
-    ];
-    if let Some(shard) = aim.shard {
-        extra.push((header::ROUTE_SHARD, header::value(&shard.to_string())));
-    }
-    extra
-}
-
-fn unanswered(target: &model::TargetName, failure: &forward::Failure) -> server::Refusal {
-    let detail = format!("lease holder of {target}: {}", failure.cause);
-    match failure.outcome {
-        forward::Outcome::NotRun => match failure.cause {
-            forward::Cause::Cancelled => {
-                server::Refusal::not_run(server::Reason::Cancelled, detail)
-            }
-            _ => server::Refusal::not_run(server::Reason::Unreachable, detail).after(WAIT),
-        },
-        forward::Outcome::Unknown => {
-            let reason = match failure.cause {
-                forward::Cause::Timeout => server::Reason::Deadline,
-                forward::Cause::Cancelled => server::Reason::Cancelled,
-                _ => server::Reason::ConnectionLost,
-            };
-            server::Refusal::unknown(reason, detail)
-        }
+/// Returns what is sent of a body that is held whole.
+pub fn content(body: &Bytes) -> forward::Content<'_> {
+    match body.is_empty() {
+        true => forward::Content::Empty,
+        false => forward::Content::Whole(body),
     }
 }
--- a/src/daemon/balancer.rs
+++ b/src/daemon/balancer.rs
@@ -8,10 +8,10 @@
 
 use crate::clock;
 use crate::daemon::keeper;
-use crate::daemon::shared::Shared;
 use crate::model;
 use crate::placement;
 use crate::state;
+use crate::tables::{self, load};
 
 /// Length of a window of load, and pause between two rounds.
 const WINDOW: Duration = Duration::from_secs(5);
@@ -34,7 +34,7 @@
 /// Requests per second of a group below which load moves nothing.
 const LEAST_RATE: f64 = 20.0;
 
-impl Shared {
+impl tables::Shared {
     /// Evens out the targets that this daemon keeps until the token is cancelled.
     pub fn run_balancer(self: &Arc<Self>) {
         let mut windows = 0;
@@ -58,7 +58,7 @@
     }
 
     /// Moves shards to targets that have joined.
-    fn fill(self: &Arc<Self>, keepers: &[Arc<keeper::Keeper>]) {
+    fn fill(self: &Arc<Self>, keepers: &[Arc<tables::keeper::Keeper>]) {
         let kept = |transfer: &placement::Transfer| {
             let mut keepers = keepers.iter();
             keepers.any(|keeper| keeper.target == transfer.from)
@@ -76,7 +76,7 @@
     }
 
     /// Moves shards away from targets that have too much load.
-    fn rebalance(self: &Arc<Self>, keepers: &[Arc<keeper::Keeper>]) {
+    fn rebalance(self: &Arc<Self>, keepers: &[Arc<tables::keeper::Keeper>]) {
         let transfers = self.plan_served(|state| self.shifts(state, keepers));
         self.carry_out(keepers, transfers);
     }
@@ -84,7 +84,7 @@
     fn shifts(
         &self,
         state: &state::State,
-        keepers: &[Arc<keeper::Keeper>],
+        keepers: &[Arc<tables::keeper::Keeper>],
     ) -> Vec<placement::Transfer> {
         let mut transfers = Vec::new();
         for keeper in keepers {
@@ -135,7 +135,7 @@
 
     fn carry_out(
         self: &Arc<Self>,
-        keepers: &[Arc<keeper::Keeper>],
+        keepers: &[Arc<tables::keeper::Keeper>],
         transfers: Vec<placement::Transfer>,
     ) {
         for transfer in placement::batches(&transfers, BATCH) {
@@ -152,7 +152,8 @@
             );
             // Requests that run on the shards are not worth waiting for here;
             // the next round tries again.
-            keeper.transfer(transfer, true);
+            let worker = keeper::Worker::new(self.clone(), keeper.clone());
+            worker.transfer(transfer, true);
             if self.token.wait_timeout(PACE) {
                 return;
             }
@@ -160,7 +161,7 @@
     }
 
     /// Gives hot keys shards of their own, and takes those of keys that are cold again.
-    fn pin(self: &Arc<Self>, keepers: &[Arc<keeper::Keeper>]) {
+    fn pin(self: &Arc<Self>, keepers: &[Arc<tables::keeper::Keeper>]) {
         let state = self.journal.state();
         let mut bodies = Vec::new();
         for keeper in keepers.iter().filter(|keeper| !keeper.is_moving()) {
@@ -190,7 +191,7 @@
 fn pin_records(
     state: &state::State,
     group: &model::GroupId,
-    rates: &crate::daemon::load::Rates,
+    rates: &load::Rates,
     owner: &model::TargetName,
     lease: model::Offset,
 ) -> Vec<state::Body> {
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -4,19 +4,19 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use crate::admin::requests;
 use crate::clock;
-use crate::daemon::attempt::Call;
+use crate::daemon::accounting;
+use crate::daemon::attempt::{self, Call};
 use crate::daemon::header;
-use crate::daemon::recall;
+use crate::daemon::refusal;
 use crate::daemon::retry;
-use crate::daemon::shared::{Shared, View};
 use crate::forward;
 use crate::metrics;
 use crate::model;
 use crate::route;
 use crate::server;
 use crate::state;
+use crate::tables::{self, requests, seats};
 
 /// What a request went through so far.
 #[derive(Default)]
@@ -27,12 +27,12 @@
     /// Extra attempts of a keyed service.
     again: u32,
     /// Kept from the first wait on.
-    seat: Option<retry::Seat<'a>>,
+    seat: Option<seats::Seat<'a>>,
     /// What the last attempt that may have run ended with.
     unknown: Option<server::Refusal>,
 }
 
-impl Shared {
+impl tables::Shared {
     /// Answers a caller's request.
     pub fn serve_caller(self: &Arc<Self>, mut request: server::Request) -> server::Response {
         let start = Instant::now();
@@ -48,8 +48,8 @@
         let request = Arc::new(request);
         let arrived = (start, &request, &id);
         let result = self.route_call(arrived, &mut body, &mut service, &trace);
-        self.report(&request, &id, service.as_ref(), &result, start);
-        self.remember(&request, &id, service.as_ref(), &result, (start, trace));
+        self.count(&request, &id, service.as_ref(), &result, start);
+        self.record(&request, &id, service.as_ref(), &result, (start, trace));
         let mut response = result.unwrap_or_else(server::Response::from);
         response
             .headers
@@ -75,9 +75,10 @@
         let resolved = view
             .routes
             .resolve(request.path(), &request.headers)
-            .map_err(unresolved)?;
+            .map_err(refusal::from_route)?;
         *service = Some(resolved.service.clone());
-        body.limit(resolved.service.max_body).map_err(too_large)?;
+        body.limit(resolved.service.max_body)
+            .map_err(refusal::from_body)?;
         self.budget.on_request(request.arrived);
         let call = Arc::new(Call {
             deadline: request.arrived + resolved.timeout,
@@ -92,7 +93,7 @@
     /// Sends the request until it is answered, must not be sent again, or its deadline passes.
     fn attempts(
         self: &Arc<Self>,
-        mut view: Arc<View>,
+        mut view: Arc<tables::View>,
         call: &Arc<Call>,
         body: &mut server::Payload,
         trace: &RefCell<requests::Trace>,
@@ -106,9 +107,9 @@
                 Ok(response) => return Ok(response),
                 Err(refusal) => refusal,
             };
-            let situation = situate(call, body, &progress, &refusal);
+            let refused = situation(call, body, &progress, &refusal);
             let token = &call.request.token;
-            match retry::decide(&situation, || self.budget.take(clock::now())) {
+            match retry::decide(&refused, || self.budget.take(clock::now())) {
                 // An earlier attempt may have run, whatever became of the last one.
                 retry::Next::Refuse => return Err(progress.unknown.unwrap_or(refusal)),
                 retry::Next::Again(pause) => {
@@ -139,28 +140,26 @@
     /// Makes an attempt, and for shared services a second one if the first is slow.
     fn send_round(
         self: &Arc<Self>,
-        view: &View,
+        view: &tables::View,
         call: &Arc<Call>,
         body: &mut server::Payload,
         (trace, tried): (&RefCell<requests::Trace>, &mut Vec<model::TargetName>),
     ) -> Result<server::Response, server::Refusal> {
-        let aim = self.aim(view, call, tried)?;
-        let shared = aim.running.is_some();
+        let destination = self.destination(view, call, tried)?;
+        let shared = destination.running.is_some();
         let (held, length) = (body.held().cloned(), body.length());
         let token = &call.request.token;
         let (ended, other) = match &held {
-            Some(data) if shared && tried.is_empty() => self.attempt_hedged(view, call, aim, data),
-            Some(data) if data.is_empty() => {
-                let content = forward::Content::Empty;
-                (self.attempt(view, call, aim, content, token), None)
+            Some(data) if shared && tried.is_empty() => {
+                self.attempt_hedged(view, call, destination, data)
             }
             Some(data) => {
-                let content = forward::Content::Whole(data);
-                (self.attempt(view, call, aim, content, token), None)
+                let content = attempt::content(data);
+                (self.attempt(view, call, destination, content, token), None)
             }
             None => {
                 let content = forward::Content::Stream(body, length);
-                (self.attempt(view, call, aim, content, token), None)
+                (self.attempt(view, call, destination, content, token), None)
             }
         };
         for record in other
@@ -176,7 +175,8 @@
         ended.result
     }
 
-    fn report(
+    /// Counts the request in the metrics, and logs it if that is wanted.
+    fn count(
         &self,
         request: &server::Request,
         id: &str,
@@ -185,7 +185,7 @@
         start: Instant,
     ) {
         let elapsed = start.elapsed();
-        let (outcome, reason) = recall::outcome(result);
+        let (outcome, reason) = accounting::outcome(result);
         let name = service.map_or("", |service| service.name.as_str());
         let labels = metrics::Outcome {
             service: name.to_owned(),
@@ -209,7 +209,7 @@
     }
 }
 
-fn situate(
+fn situation(
     call: &Call,
     body: &server::Payload,
     progress: &Progress<'_>,
@@ -233,26 +233,3 @@
         left: call.deadline.since(clock::now()),
     }
 }
-
-fn too_large(error: server::BodyError) -> server::Refusal {
-    server::Refusal::not_run(server::Reason::TooLarge, error.to_string())
-}
-
-fn unresolved(why: route::Refused) -> server::Refusal {
-    let detail = why.to_string();
-    match why {
-        route::Refused::NoRoute => server::Refusal::not_run(server::Reason::NoRoute, detail),
-        route::Refused::WrongRegion { addresses } => {
-            let refusal = server::Refusal::not_run(server::Reason::WrongRegion, detail);
-            match addresses.first() {
-                Some(address) => refusal.at(format!("http://{address}")),
-                None => refusal,
-            }
-        }
-        route::Refused::TenantOut => {
-            server::Refusal::not_run(server::Reason::Moving, detail).after(1_000)
-        }
-        route::Refused::NoHome => server::Refusal::not_run(server::Reason::WrongRegion, detail),
-        _ => server::Refusal::not_run(server::Reason::Malformed, detail),
-    }
-}
--- a/src/daemon/handover.rs
+++ b/src/daemon/handover.rs
@@ -9,13 +9,12 @@
 use std::time::Duration;
 
 use crate::clock;
-use crate::daemon::shared::Shared;
 use crate::journal;
 use crate::lease;
 use crate::model;
 use crate::peer;
 use crate::server;
-use crate::state;
+use crate::tables;
 
 /// Longest time for one call to another daemon.
 const CALL: Duration = Duration::from_millis(500);
@@ -52,7 +51,7 @@
     Message(#[from] peer::Error),
 }
 
-impl Shared {
+impl tables::Shared {
     /// Hands all leases that are still held to their backups without a record,
     /// and resigns as backup of others. Returns once each was taken or is left
     /// to the log.
@@ -97,9 +96,7 @@
 
     /// Notes that the backup of a lease held here has resigned.
     pub(super) fn receive_resignation(&self, request: &server::Request) -> server::Response {
-        let body = request.body.held();
-        let message = body.and_then(|body| peer::decode::<peer::Resignation>(body).ok());
-        let Some(message) = message else {
+        let Some(message) = decoded::<peer::Resignation>(request) else {
             return server::Response::empty(http::StatusCode::BAD_REQUEST);
         };
         let (target, lease) = (&message.target, message.lease);
@@ -159,9 +156,7 @@
 
     /// Takes a lease that its holder has given up in favour of this daemon.
     pub(super) fn receive_lease(self: &Arc<Self>, request: &server::Request) -> server::Response {
-        let body = request.body.held();
-        let message = body.and_then(|body| peer::decode::<peer::Surrender>(body).ok());
-        let Some(message) = message else {
+        let Some(message) = decoded::<peer::Surrender>(request) else {
             return server::Response::empty(http::StatusCode::BAD_REQUEST);
         };
         let (target, lease) = (message.target.clone(), message.lease);
@@ -181,8 +176,7 @@
             return Err(lease::Refused::Leaving);
         }
         self.journal.note_end(message.seen);
-        let before = model::Offset(message.seen.0.saturating_sub(1));
-        let state = self.journal.wait_beyond(before, CATCH_UP);
+        let state = self.journal.wait_for(message.seen, CATCH_UP);
         let handed = lease::Handed::from(message);
         {
             let mut leases = self.leases.lock();
@@ -201,32 +195,20 @@
         if due.is_empty() {
             return;
         }
-        let state = self.journal.state();
-        let bodies = due.iter().map(|proposal| state::Body::Lease {
-            target: proposal.target.clone(),
-            prior: Some(proposal.prior),
-            holder: self.me,
-            backup: None,
-            span: proposal.span,
-        });
-        let decisions = self
-            .journal
-            .propose_all(bodies.collect(), state.next, DECISION);
-        for (proposal, decision) in due.iter().zip(decisions) {
-            self.settle(proposal, &decision);
-        }
+        let base = self.journal.state().next;
+        let proposals = due.into_iter().map(|proposal| (proposal, None));
+        self.propose_leases(proposals, base, DECISION);
     }
 }
 
+fn decoded<T: serde::de::DeserializeOwned>(request: &server::Request) -> Option<T> {
+    peer::decode(request.body.held()?).ok()
+}
+
 /// Sends a message until the other daemon has accepted or refused it.
 fn send(to: SocketAddr, path: &str, message: &impl serde::Serialize) -> Result<(), Error> {
     let body = peer::encode(message)?;
-    let config = ureq::Agent::config_builder()
-        .max_redirects(0)
-        .proxy(None)
-        .timeout_global(Some(CALL))
-        .build();
-    let agent = config.new_agent();
+    let agent = peer::call::agent(CALL);
     let url = format!("http://{to}{path}");
     let end = clock::now() + SEND;
     loop {
--- a/src/daemon/hedge.rs
+++ b/src/daemon/hedge.rs
@@ -4,74 +4,26 @@
 //! second one on a small pool if the first still runs at its time.
 
 use std::io::{self, Read};
-use std::panic::{self, AssertUnwindSafe};
 use std::sync::Arc;
 use std::time::Instant;
 
 use bytes::Bytes;
-use crossbeam::channel;
 
 use crate::clock;
 use crate::daemon::attempt;
 use crate::daemon::race;
-use crate::daemon::shared::{Shared, View};
 use crate::forward;
 use crate::model;
 use crate::route;
 use crate::server;
+use crate::tables;
 use crate::token;
 
-/// Threads for second attempts.
-pub const THREADS: usize = 16;
-
-/// Second attempts that may wait for a thread; those beyond are left out.
-const QUEUE: usize = 16;
-
-type Job = Box<dyn FnOnce() + Send>;
 type Race = race::Race<attempt::Ended>;
 
-/// Timer and pool for second attempts.
-pub struct Hedges {
-    timer: Arc<race::Timer>,
-    sender: channel::Sender<Option<Job>>,
-    receiver: channel::Receiver<Option<Job>>,
-}
-
-impl Default for Hedges {
-    fn default() -> Self {
-        let (sender, receiver) = channel::bounded(QUEUE);
-        Self {
-            timer: Arc::default(),
-            sender,
-            receiver,
-        }
-    }
-}
-
-impl Hedges {
-    /// Starts second attempts until `token` is cancelled.
-    pub fn run_timer(&self, token: &token::Token) {
-        let timer = self.timer.clone();
-        let _stop = token.on_cancel(move || timer.stop());
-        self.timer.run();
-        for _ in 0..THREADS {
-            let _ = self.sender.send(None);
-        }
-    }
-
-    /// Carries out second attempts until the timer has ended.
-    pub fn run_attempts(&self) {
-        while let Ok(Some(job)) = self.receiver.recv() {
-            if panic::catch_unwind(AssertUnwindSafe(job)).is_err() {
-                log::error!("a second attempt panicked");
-            }
-        }
-    }
-}
-
 /// A second attempt that may be made.
 struct Second {
-    shared: Arc<Shared>,
+    shared: Arc<tables::Shared>,
     race: Arc<Race>,
     abort: forward::Abort,
     call: Arc<attempt::Call>,
@@ -86,8 +38,7 @@
         if !self.race.is_open() || !shared.budget.take(clock::now()) {
             return;
         }
-        let job: Job = Box::new(move || self.run());
-        if shared.hedges.sender.try_send(Some(job)).is_err() {
+        if !shared.hedges.submit(move || self.run()) {
             shared.budget.give_back();
         }
     }
@@ -97,22 +48,22 @@
         let _entered = shared.running.enter(shared.journal.state().next);
         let view = shared.view();
         let first = std::slice::from_ref(&self.first);
-        let aim = shared.aim_elsewhere(&view, &self.call, first);
-        let Some(aim) = aim.filter(|_| self.race.start_second()) else {
+        let destination = shared.other_destination(&view, &self.call, first);
+        let Some(destination) = destination.filter(|_| self.race.start_second()) else {
             shared.budget.give_back();
             return;
         };
         shared.metrics.extra.inc();
         let tie = self.abort.fire_with(&self.call.request.token);
-        let content = content(&self.body);
-        let mut ended = shared.attempt(&view, &self.call, aim, content, self.abort.token());
+        let content = attempt::content(&self.body);
+        let mut ended = shared.attempt(&view, &self.call, destination, content, self.abort.token());
         ended.result = ended.result.map(|response| tied(response, tie));
         let answered = ended.result.is_ok();
         self.race.end_second(ended, answered);
     }
 }
 
-impl Shared {
+impl tables::Shared {
     /// Returns the answer times of a service.
     pub fn delay(&self, service: &model::ServiceName) -> Arc<route::hedge::Delay> {
         if let Some(delay) = self.delays.read().get(service) {
@@ -140,18 +91,21 @@
     /// one that counts first.
     pub(super) fn attempt_hedged(
         self: &Arc<Self>,
-        view: &View,
+        view: &tables::View,
         call: &Arc<attempt::Call>,
-        aim: attempt::Aim,
+        destination: attempt::Destination,
         body: &Bytes,
     ) -> (attempt::Ended, Option<attempt::Ended>) {
         let delay = self.delay(&call.resolved.service.name);
         let start = Instant::now();
         let ended = match self.second_at(call, &delay) {
-            Some(at) => self.run_race(view, call, aim, body, at),
+            Some(at) => self.run_race(view, call, destination, body, at),
             None => {
                 let token = &call.request.token;
-                (self.attempt(view, call, aim, content(body), token), None)
+                (
+                    self.attempt(view, call, destination, attempt::content(body), token),
+                    None,
+                )
             }
         };
         if ended.0.result.is_ok() {
@@ -162,9 +116,9 @@
 
     fn run_race(
         self: &Arc<Self>,
-        view: &View,
+        view: &tables::View,
         call: &Arc<attempt::Call>,
-        aim: attempt::Aim,
+        destination: attempt::Destination,
         body: &Bytes,
         at: Instant,
     ) -> (attempt::Ended, Option<attempt::Ended>) {
@@ -176,11 +130,17 @@
             abort: other,
             call: call.clone(),
             body: body.clone(),
-            first: aim.target.clone(),
+            first: destination.target.clone(),
         };
         let tie = abort.fire_with(&call.request.token);
-        let armed = self.hedges.timer.arm(at, move || second.submit());
-        let mut first = self.attempt(view, call, aim, content(body), abort.token());
+        let armed = self.hedges.arm(at, move || second.submit());
+        let mut first = self.attempt(
+            view,
+            call,
+            destination,
+            attempt::content(body),
+            abort.token(),
+        );
         drop(armed);
         let left = call.deadline.since(clock::now()) + attempt::ANSWER_MARGIN;
         let end = Instant::now() + clock::duration(left);
@@ -217,13 +177,6 @@
     }
 }
 
-fn content(body: &Bytes) -> forward::Content<'_> {
-    match body.is_empty() {
-        true => forward::Content::Empty,
-        false => forward::Content::Whole(body),
-    }
-}
-
 /// A streamed body that is aborted when the caller is gone.
 struct Tied {
     reader: Box<dyn Read + Send>,
--- a/src/daemon/steward.rs
+++ b/src/daemon/leases.rs
@@ -8,11 +8,11 @@
 use crate::clock;
 use crate::daemon::keeper;
 use crate::daemon::membership;
-use crate::daemon::shared::Shared;
 use crate::lease;
 use crate::model;
 use crate::peer;
 use crate::state;
+use crate::tables;
 
 /// Pause between two looks at silent holders and backups.
 const LOOK: Duration = Duration::from_millis(20);
@@ -30,7 +30,7 @@
 /// Longest pause of the thread that follows the state.
 const FOLLOW: Duration = Duration::from_millis(500);
 
-impl Shared {
+impl tables::Shared {
     /// Opens the socket for heartbeats.
     ///
     /// # Errors
@@ -129,24 +129,32 @@
                 continue;
             };
             if let hash_map::Entry::Vacant(entry) = keepers.entry(target) {
-                let keeper = keeper::Keeper::new(self.clone(), config, fence, chain);
+                let keeper = tables::keeper::Keeper::new(
+                    config,
+                    self.settings.policy.target_queue,
+                    self.token.child(),
+                    fence,
+                    chain,
+                );
                 entry.insert(keeper.clone());
                 started.push(keeper);
             }
         }
         let all: Vec<_> = keepers.values().cloned().collect();
         drop(keepers);
-        for keeper in started {
-            std::thread::spawn(move || keeper.run());
+        let worker = |keeper| keeper::Worker::new(self.clone(), keeper);
+        for worker in started.into_iter().map(worker) {
+            std::thread::spawn(move || worker.run());
         }
         for keeper in all {
-            keeper.follow(state, changed.contains(&keeper.target));
+            let changed = changed.contains(&keeper.target);
+            worker(keeper).follow(state, changed);
         }
     }
 
     /// Takes over leases whose holder is silent, and reads the log for the
     /// right where the backup is.
-    pub fn run_steward(self: &Arc<Self>) {
+    pub fn run_takeovers(self: &Arc<Self>) {
         let mut last = clock::Millis::default();
         while !self.token.wait_timeout(LOOK) {
             let now = clock::now();
@@ -199,20 +207,34 @@
         let state = self.journal.state();
         self.metrics.takeovers.inc_by(due.len() as u64);
         log::warn!("taking over {} leases from a silent holder", due.len());
-        let bodies = due.iter().map(|proposal| {
+        let proposals = due.into_iter().map(|proposal| {
             let holder = state.leases.get(&proposal.target).map(|lease| lease.holder);
-            state::Body::Lease {
+            let backup = membership::backup_for(&state, self.me, holder.as_slice());
+            (proposal, backup)
+        });
+        self.propose_leases(proposals, state.next, DECISION);
+    }
+
+    /// Records leases held by this daemon, each with its backup, waits for the
+    /// log's decisions and tells the lease table of them.
+    pub(super) fn propose_leases(
+        &self,
+        proposals: impl IntoIterator<Item = (lease::Proposal, Option<model::Incarnation>)>,
+        base: model::Offset,
+        wait: Duration,
+    ) {
+        let proposals: Vec<_> = proposals.into_iter().collect();
+        let bodies = proposals
+            .iter()
+            .map(|(proposal, backup)| state::Body::Lease {
                 target: proposal.target.clone(),
                 prior: Some(proposal.prior),
                 holder: self.me,
-                backup: membership::backup_for(&state, self.me, holder.as_slice()),
+                backup: *backup,
                 span: proposal.span,
-            }
-        });
-        let decisions = self
-            .journal
-            .propose_all(bodies.collect(), state.next, DECISION);
-        for (proposal, decision) in due.iter().zip(decisions) {
+            });
+        let decisions = self.journal.propose_all(bodies.collect(), base, wait);
+        for ((proposal, _), decision) in proposals.iter().zip(decisions) {
             self.settle(proposal, &decision);
         }
     }
--- a/src/admin/fleet.rs
+++ b/src/peer/fleet.rs
@@ -7,9 +7,8 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-use crate::daemon;
 use crate::model;
-use crate::peer;
+use crate::peer::{self, call};
 use crate::state;
 
 /// Longest time for one daemon's answer.
@@ -46,15 +45,14 @@
     pub silent: Vec<Silent>,
 }
 
-/// Asks every up daemon of the state for `path`; `own` is this daemon's answer.
-pub fn ask<T>(shared: &daemon::Shared, path: &str, own: T) -> Answers<T>
+/// Asks every up daemon of the state for `path`; `own` is the answer of this
+/// daemon, `me`.
+pub fn ask<T>(state: &state::State, me: model::Incarnation, path: &str, own: T) -> Answers<T>
 where
     T: DeserializeOwned + Send,
 {
-    let state = shared.journal.state();
-    let up = state.hosts.iter().filter(|(_, host)| host.gone.is_none());
-    let others: Vec<_> = up.filter(|(id, _)| **id != shared.me).collect();
-    let agent = agent();
+    let others: Vec<_> = state.up_hosts().filter(|(id, _)| *id != me).collect();
+    let agent = call::agent(CALL);
     let end = Instant::now() + ROUND;
     let next = AtomicUsize::new(0);
     let results = Mutex::new(Vec::with_capacity(others.len()));
@@ -64,7 +62,7 @@
                 true => get(&agent, host, path),
                 false => Err(format!("not asked within {} s", ROUND.as_secs())),
             };
-            results.lock().push((**id, *host, answer));
+            results.lock().push((*id, *host, answer));
         }
     };
     std::thread::scope(|scope| {
@@ -72,7 +70,7 @@
             scope.spawn(run);
         }
     });
-    let mut answers = vec![(shared.me, own)];
+    let mut answers = vec![(me, own)];
     let mut silent = Vec::new();
     let mut results = results.into_inner();
     results.sort_by_key(|(id, _, _)| *id);
@@ -97,16 +95,7 @@
 /// # Errors
 /// Says why there is no answer.
 pub fn ask_one<T: DeserializeOwned>(host: &state::Host, path: &str) -> Result<T, String> {
-    get(&agent(), host, path)
-}
-
-fn agent() -> ureq::Agent {
-    let config = ureq::Agent::config_builder()
-        .max_redirects(0)
-        .proxy(None)
-        .timeout_global(Some(CALL))
-        .build();
-    config.new_agent()
+    get(&call::agent(CALL), host, path)
 }
 
 fn get<T: DeserializeOwned>(
@@ -114,9 +103,7 @@
     host: &state::Host,
     path: &str,
 ) -> Result<T, String> {
-    let response = agent.get(format!("http://{}{path}", host.peer)).call();
-    let mut response = response.map_err(|error| error.to_string())?;
-    let body = response.body_mut().with_config().limit(REPLY_BYTES);
-    let body = body.read_to_vec().map_err(|error| error.to_string())?;
+    let body = call::get(agent, host.peer, path, REPLY_BYTES);
+    let body = body.map_err(|error| error.to_string())?;
     peer::decode(&body).map_err(|error| error.to_string())
 }
