Ask another daemon for records that were missed, and the log only then

Cause: a daemon that missed a relayed batch read the gap from the log.

Ruled out: the pause after a failure, and daemons that don't yield: the late ones logged neither a failed read nor a refusal; the batch of 4.54 s did not reach them, and the next sign of the reader came with its next read at 5.89 s.

Change: every daemon keeps the newest records of each topic and gives them to others over HTTP (`rmp-serde`, deflated) on the peer address; the sign of the reader is repeated 150 and 450 ms after operators' records and key tables.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -91,7 +91,9 @@
     let peer = UdpSocket::bind(listen.peer)
         .await
         .map_err(at("peer address"))?;
+    let records = listener::listen(listen.peer).map_err(at("peer address"))?;
     let shared = Rc::new(Shared::new(settings, dialect, peer));
+    tokio::task::spawn_local(relay::accept(Rc::clone(&shared), records));
     let (close, closing) = watch::channel(false);
     tokio::task::spawn_local(admin::accept(Rc::clone(&shared), admin));
     tokio::task::spawn_local(listener::accept(Rc::clone(&shared), caller, closing));
--- a/src/gateway/executor.rs
+++ b/src/gateway/executor.rs
@@ -114,7 +114,10 @@
             }
             peers::Message::Progress(host, progress) => {
                 if shared.yields_to(&host) {
-                    shared.relay.borrow_mut().on_progress(progress, now);
+                    let mut relay = shared.relay.borrow_mut();
+                    relay.on_reader(host);
+                    relay.on_progress(progress, now);
+                    drop(relay);
                     shared.relayed.notify_waiters();
                 }
                 return;
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -243,18 +243,25 @@
     received: relay::Received,
     reader: &mut impl Reader,
 ) -> u64 {
-    match received {
-        relay::Received::Batch(batch) => {
-            place.on_read(batch.next);
-            reader.apply(batch, Source::Relayed);
-            0
+    let batch = match (received, place.from) {
+        (relay::Received::Batch(batch), _) => Some(batch),
+        (relay::Received::Behind, Some(from)) => relay::fetch(shared, plan.topic, from).await,
+        (relay::Received::Nothing, _) => return 0,
+        (relay::Received::Behind, None) => None,
+    };
+    match (batch, place.from) {
+        (Some(batch), Some(from)) => {
+            let next = batch.next;
+            place.on_read(next);
+            let records = reader.apply(batch, Source::Relayed);
+            let mut relay = shared.relay.borrow_mut();
+            relay.remember(plan.topic, from, next, &records);
         }
-        relay::Received::Behind => {
+        _ => {
             read_on(shared, plan, 0, place, reader).await;
-            0
         }
-        relay::Received::Nothing => 0,
     }
+    0
 }
 
 /// Reads the newest records; returns how long to pause.
@@ -267,6 +274,9 @@
     let source = Source::Own(clock::now());
     match newest(shared, plan.topic).await {
         Ok((records, end)) => {
+            let mut relay = shared.relay.borrow_mut();
+            relay.remember_all(plan.topic, &records, end);
+            drop(relay);
             reader.replace(records, end, source);
             place.on_read(end);
             shared.relay.borrow_mut().on_read(plan.topic, end);
@@ -294,7 +304,10 @@
             let (next, end) = (batch.next, batch.end);
             let records = reader.apply(batch, source);
             place.on_read(next);
-            shared.relay.borrow_mut().on_read(plan.topic, next);
+            let mut relay = shared.relay.borrow_mut();
+            relay.remember(plan.topic, offset, next, &records);
+            relay.on_read(plan.topic, next);
+            drop(relay);
             relay::pass_on(shared, plan.topic, offset, next, end, records);
             plan.pace
         }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -5,7 +5,11 @@
 //! targets it tells the offsets up to which it has read, so that the others notice
 //! what they missed, and that it still reads. Whoever hears nothing for a while
 //! makes its own calls, and passes on what they show. Of several readers, the
-//! steward goes on, or else the first by name whose calls are answered.
+//! steward goes on, or else the first by name whose calls are answered. Whoever
+//! missed records asks the reader for them, and the log if the reader has them not.
+
+mod exchange;
+pub mod memory;
 
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -16,6 +20,8 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
 
+pub(crate) use self::exchange::{accept, fetch};
+use self::memory::Memory;
 use crate::clock;
 use crate::gateway::dialect::{self, Topic};
 use crate::gateway::feed;
@@ -40,6 +46,9 @@
 /// Time for records under way before a daemon reads what it seems to have missed.
 const UNDER_WAY: Duration = Duration::from_millis(30);
 
+/// Pauses after which the sign of the reader is repeated.
+const REPEATS: [Duration; 2] = [Duration::from_millis(150), Duration::from_millis(450)];
+
 /// Records that the reader passes on.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Relayed {
@@ -130,8 +139,12 @@
     inboxes: HashMap<Topic, mpsc::UnboundedSender<Option<Relayed>>>,
     next: [Option<model::Offset>; 4],
     heard: Option<(clock::Millis, Progress)>,
+    /// Daemon whose sign was taken last.
+    reader: Option<model::HostName>,
     /// Time of the last own read that was answered.
     read: Option<clock::Millis>,
+    memories: [Memory; 4],
+    answers: [Option<exchange::Answer>; 4],
 }
 
 fn index(topic: Topic) -> usize {
@@ -167,6 +180,32 @@
         self.read.is_some_and(|read| now.since(read) < silence)
     }
 
+    /// Keeps the newest records of all keys as of offset `next`.
+    pub(crate) fn remember_all(
+        &mut self,
+        topic: Topic,
+        records: &[dialect::Record],
+        next: model::Offset,
+    ) {
+        self.memories[index(topic)].replace(records, next);
+    }
+
+    /// Keeps the records from `from` up to `next`.
+    pub(crate) fn remember(
+        &mut self,
+        topic: Topic,
+        from: model::Offset,
+        next: model::Offset,
+        records: &[dialect::Record],
+    ) {
+        self.memories[index(topic)].extend(from, next, records);
+    }
+
+    /// Takes note of the daemon that reads.
+    pub(crate) fn on_reader(&mut self, host: model::HostName) {
+        self.reader = Some(host);
+    }
+
     /// Takes records that the reader passed on.
     pub(crate) fn on_relayed(&mut self, relayed: Relayed) {
         let topic = TOPICS.get(usize::from(relayed.topic));
@@ -350,9 +389,12 @@
         Some(messages) => messages
             .iter()
             .for_each(|message| peers::tell_domain(shared, message)),
-        // A record is too long for a datagram: the others read it themselves.
+        // A record is too long for a datagram: the others ask for it.
         None => send_progress(shared),
     }
+    if topic != Topic::Targets && topic != Topic::Hosts {
+        repeat_progress(shared);
+    }
 }
 
 /// Returns datagrams that carry the records, or `None` if one of them does not fit.
@@ -393,6 +435,18 @@
     }
 }
 
+/// Repeats the sign of the reader after records that must not come late: a lost
+/// datagram would show only with the next read of the targets.
+fn repeat_progress(shared: &Rc<Shared>) {
+    for pause in REPEATS {
+        let shared = Rc::clone(shared);
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(pause).await;
+            announce(&shared);
+        });
+    }
+}
+
 fn send_progress(shared: &Rc<Shared>) {
     let progress = Progress {
         next: shared.relay.borrow().next,
--- /dev/null
+++ b/src/gateway/relay/exchange.rs
@@ -0,0 +1,145 @@
+//! Records that one daemon asks another one for, over HTTP.
+
+use std::io::{self, Read};
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use flate2::Compression;
+use flate2::read::{DeflateDecoder, DeflateEncoder};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service;
+use hyper_util::rt::TokioIo;
+use tokio::net::{TcpListener, TcpStream};
+
+use super::{Relayed, TOPICS, index};
+use crate::clock;
+use crate::gateway::client;
+use crate::gateway::dialect::{self, Topic};
+use crate::gateway::shared::Shared;
+use crate::model;
+
+/// Time for a connection to a daemon of the failure domain.
+const CONNECT: Duration = Duration::from_millis(200);
+
+/// Time for the head of an answer and for each further part.
+const ANSWER: Duration = Duration::from_millis(500);
+
+/// Longest answer that is taken, in bytes.
+const LONGEST: u64 = 64 << 20;
+
+/// Answer for one topic and offset, which many daemons ask for at once.
+#[derive(Debug)]
+pub(super) struct Answer {
+    from: model::Offset,
+    next: model::Offset,
+    body: Bytes,
+}
+
+/// Asks the daemon that read last for the records of a topic from `from` on.
+pub(crate) async fn fetch(
+    shared: &Shared,
+    topic: Topic,
+    from: model::Offset,
+) -> Option<dialect::Batch> {
+    let reader = shared.relay.borrow().reader.clone()?;
+    let address = shared.peers.borrow().address(&reader)?;
+    let mut request = http::Request::new(Bytes::new());
+    *request.uri_mut() = format!("/records/{}/{from}", index(topic)).parse().ok()?;
+    let host = address.to_string().parse().ok()?;
+    request.headers_mut().insert(http::header::HOST, host);
+    let patience = client::Patience {
+        head: ANSWER,
+        part: ANSWER,
+    };
+    let peer = client::Peer { address, birth: 0 };
+    let answer = shared.client.fetch(peer, request, CONNECT, patience).await;
+    let answer = answer.ok().filter(|answer| answer.status() == 200)?;
+    let relayed = decode(answer.body());
+    let relayed = relayed.inspect_err(|error| log::warn!("records of {reader}: {error}"));
+    let relayed = relayed.ok()?;
+    (relayed.step(from) == super::Step::Next).then(|| relayed.into_batch())
+}
+
+fn encode(relayed: &Relayed) -> io::Result<Bytes> {
+    let plain = rmp_serde::to_vec(relayed).map_err(io::Error::other)?;
+    let mut body = Vec::new();
+    DeflateEncoder::new(&plain[..], Compression::fast()).read_to_end(&mut body)?;
+    Ok(body.into())
+}
+
+fn decode(body: &[u8]) -> io::Result<Relayed> {
+    let reader = DeflateDecoder::new(body).take(LONGEST);
+    rmp_serde::from_read(reader).map_err(io::Error::other)
+}
+
+/// Answers other daemons until the process ends.
+pub(crate) async fn accept(shared: Rc<Shared>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(serve(Rc::clone(&shared), stream));
+            }
+            Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
+        }
+    }
+}
+
+async fn serve(shared: Rc<Shared>, stream: TcpStream) {
+    let handler = service::service_fn(move |request: http::Request<Incoming>| {
+        let response = respond(&shared, request.uri().path());
+        async move { Ok::<_, std::convert::Infallible>(response) }
+    });
+    // A daemon that breaks off reads the log itself.
+    let _ = http1::Builder::new()
+        .serve_connection(TokioIo::new(stream), handler)
+        .await;
+}
+
+fn respond(shared: &Shared, path: &str) -> http::Response<Full<Bytes>> {
+    let asked = parse(path);
+    let body = asked.and_then(|(topic, from)| records(shared, topic, from));
+    let status = match (asked, &body) {
+        (None, _) => http::StatusCode::BAD_REQUEST,
+        (Some(_), None) => http::StatusCode::NOT_FOUND,
+        (Some(_), Some(_)) => http::StatusCode::OK,
+    };
+    let mut response = http::Response::new(Full::new(body.unwrap_or_default()));
+    *response.status_mut() = status;
+    response
+}
+
+/// Returns the topic and offset of a path such as `/records/1/250`.
+fn parse(path: &str) -> Option<(Topic, model::Offset)> {
+    let (topic, from) = path.strip_prefix("/records/")?.split_once('/')?;
+    let topic = TOPICS.get(topic.parse::<usize>().ok()?)?;
+    Some((*topic, model::Offset(from.parse().ok()?)))
+}
+
+/// Returns the encoded records of a topic from `from` on, if none is missing.
+fn records(shared: &Shared, topic: Topic, from: model::Offset) -> Option<Bytes> {
+    let mut relay = shared.relay.borrow_mut();
+    let (records, next) = relay.memories[index(topic)].since(from)?;
+    let known = &relay.answers[index(topic)];
+    let known = known
+        .as_ref()
+        .filter(|known| (known.from, known.next) == (from, next));
+    if let Some(known) = known {
+        return Some(known.body.clone());
+    }
+    let started = clock::now();
+    let body = encode(&Relayed::new(topic, from, next, next, records)).ok()?;
+    log::debug!(
+        "records of {topic:?} from {from} to {next}: {} bytes after {} ms",
+        body.len(),
+        clock::now().since(started)
+    );
+    relay.answers[index(topic)] = Some(Answer {
+        from,
+        next,
+        body: body.clone(),
+    });
+    Some(body)
+}
--- a/tests/gateway_relay.rs
+++ b/tests/gateway_relay.rs
@@ -3,13 +3,14 @@
 #[path = "support/known.rs"]
 mod known;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Range;
 
 use bytes::Bytes;
 use pistachiomoor::clock::Millis;
 use pistachiomoor::gateway::dialect::{Record, Topic};
 use pistachiomoor::gateway::peers::{Directory, Notice};
+use pistachiomoor::gateway::relay::memory::Memory;
 use pistachiomoor::gateway::relay::{Progress, Relay, Relayed, Step};
 use pistachiomoor::model::{DomainName, HostName, Incarnation, Offset};
 use proptest::prelude::*;
@@ -221,3 +222,84 @@
         prop_assert_eq!(applied, (0..end).collect());
     }
 }
+
+fn record(offset: u64, key: u8, value: Option<u8>) -> Record {
+    Record {
+        offset: Offset(offset),
+        key: format!("key-{key}").into(),
+        value: value.map(|value| Bytes::from(vec![value])),
+    }
+}
+
+/// Applies records to what is known of each key.
+fn fold(state: &mut BTreeMap<String, Bytes>, records: &[Record]) {
+    for record in records {
+        match &record.value {
+            Some(value) => state.insert(record.key.to_string(), value.clone()),
+            None => state.remove(&*record.key),
+        };
+    }
+}
+
+proptest! {
+    /// Guards against a daemon that gets too few records of another one: a key that
+    /// was removed meanwhile, or records that the other one has missed itself.
+    #[test]
+    fn memory_since(
+        written in prop::collection::vec((0..6_u8, prop::option::of(any::<u8>())), 1..60),
+        cuts in prop::collection::vec(0..60_usize, 0..6),
+        start in 0..60_usize,
+    ) {
+        let log: Vec<_> = (0..).zip(&written).map(|(i, (key, value))| record(i, *key, *value)).collect();
+        let start = start.min(log.len());
+        let mut newest = BTreeMap::new();
+        fold(&mut newest, &log[..start]);
+        let newest: Vec<_> = newest.into_iter().map(|(key, value)| Record {
+            offset: Offset(0), key: key.as_str().into(), value: Some(value),
+        }).collect();
+        let mut memory = Memory::default();
+        memory.replace(&newest, Offset(start as u64));
+        let mut cuts: Vec<_> = cuts.into_iter().filter(|cut| (start..log.len()).contains(cut)).collect();
+        cuts.extend([start, log.len()]);
+        cuts.sort_unstable();
+        for pair in cuts.windows(2) {
+            memory.extend(Offset(pair[0] as u64), Offset(pair[1] as u64), &log[pair[0]..pair[1]]);
+        }
+        for from in 0..=log.len() {
+            let Some((records, next)) = memory.since(Offset(from as u64)) else {
+                prop_assert!(from < start, "nothing from {} on", from);
+                continue;
+            };
+            prop_assert_eq!(next, Offset(log.len() as u64));
+            let (mut told, mut all) = (BTreeMap::new(), BTreeMap::new());
+            fold(&mut told, &log[..from]);
+            fold(&mut told, &records);
+            fold(&mut all, &log);
+            prop_assert_eq!(told, all);
+        }
+    }
+}
+
+/// Guards against records that are told by a daemon that has a gap before them, and
+/// against a memory that grows with every key that was ever removed.
+#[test]
+fn memory_gap_and_removals() {
+    let mut memory = Memory::default();
+    assert!(memory.since(Offset(0)).is_none());
+    memory.extend(Offset(5), Offset(6), &[record(5, 1, Some(1))]);
+    memory.extend(Offset(8), Offset(9), &[record(8, 2, Some(2))]);
+    assert!(memory.since(Offset(6)).is_none());
+    assert_eq!(memory.since(Offset(8)).expect("records").0.len(), 1);
+    for offset in 9..20_009 {
+        let key = format!("gone-{offset}").as_str().into();
+        let removed = Record {
+            offset: Offset(offset),
+            key,
+            value: None,
+        };
+        memory.extend(Offset(offset), Offset(offset + 1), &[removed]);
+    }
+    assert!(memory.since(Offset(8)).is_none());
+    let (records, _) = memory.since(Offset(18_500)).expect("records");
+    assert_eq!(records.len(), 20_009 - 18_500);
+}
