Count the gateway's requests by route, and its calls and orders by outcome

Metrics are kept by prometheus-client under their present names. Those by route keep handles for the routes of the configuration in effect and end with them, so that memory is bounded and a request builds no label.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -19,6 +19,7 @@
 pub mod settings;
 pub mod shared;
 pub mod steward;
+pub mod trace;
 
 mod admin;
 mod executor;
--- a/src/gateway/admin.rs
+++ b/src/gateway/admin.rs
@@ -1,6 +1,5 @@
 //! The admin port: readiness, metrics and status.
 
-use std::fmt::Write;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -9,9 +8,11 @@
 use hyper::server::conn::http1;
 use hyper::service;
 use hyper_util::rt::TokioIo;
+use serde::Serialize;
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::clock;
+use crate::gateway::counters;
 use crate::gateway::shared::Shared;
 
 /// Answers on the admin port until the process ends.
@@ -28,7 +29,7 @@
 
 async fn serve(shared: Rc<Shared>, stream: TcpStream) {
     let handler = service::service_fn(move |request: http::Request<Incoming>| {
-        let response = answer(&shared, request.uri().path());
+        let response = answer(&shared, request.uri().path()).into_response();
         async move { Ok::<_, std::convert::Infallible>(response) }
     });
     // A caller that breaks off has no further interest in the answer.
@@ -37,39 +38,100 @@
         .await;
 }
 
-fn answer(shared: &Shared, path: &str) -> http::Response<Full<Bytes>> {
-    let (status, text) = match path {
-        "/live" => (200, "live\n".to_owned()),
-        "/metrics" => (200, metrics(shared)),
-        "/admin/status" => (200, status(shared)),
+/// Media type of a page.
+#[derive(Clone, Copy)]
+enum Media {
+    Text,
+    Json,
+    Metrics,
+}
+
+impl Media {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Text => "text/plain; charset=utf-8",
+            Self::Json => "application/json",
+            Self::Metrics => "application/openmetrics-text; version=1.0.0; charset=utf-8",
+        }
+    }
+}
+
+/// What is answered.
+struct Page {
+    status: http::StatusCode,
+    media: Media,
+    text: String,
+}
+
+impl Page {
+    fn text(status: http::StatusCode, text: impl Into<String>) -> Self {
+        Self {
+            status,
+            media: Media::Text,
+            text: text.into(),
+        }
+    }
+
+    fn json(value: &impl Serialize) -> Self {
+        match serde_json::to_string_pretty(value) {
+            Ok(text) => Self {
+                status: http::StatusCode::OK,
+                media: Media::Json,
+                text: text + "\n",
+            },
+            Err(error) => Self::text(
+                http::StatusCode::INTERNAL_SERVER_ERROR,
+                format!("the page can't be written: {error}\n"),
+            ),
+        }
+    }
+
+    fn into_response(self) -> http::Response<Full<Bytes>> {
+        let mut response = http::Response::new(Full::new(self.text.into()));
+        *response.status_mut() = self.status;
+        let media = http::HeaderValue::from_static(self.media.name());
+        response
+            .headers_mut()
+            .insert(http::header::CONTENT_TYPE, media);
+        response
+    }
+}
+
+fn answer(shared: &Shared, path: &str) -> Page {
+    match path {
+        "/live" => Page::text(http::StatusCode::OK, "live\n"),
+        "/metrics" => Page {
+            status: http::StatusCode::OK,
+            media: Media::Metrics,
+            text: metrics(shared),
+        },
+        "/admin/status" => Page::json(&status(shared)),
         path if path == "/ready" || path == shared.settings.ready_path => ready(shared),
-        _ => (404, "no such page\n".to_owned()),
-    };
-    let mut response = http::Response::new(Full::new(text.into()));
-    if let Ok(status) = http::StatusCode::from_u16(status) {
-        *response.status_mut() = status;
+        _ => Page::text(http::StatusCode::NOT_FOUND, "no such page\n"),
     }
-    response
 }
 
-fn ready(shared: &Shared) -> (u16, String) {
+fn ready(shared: &Shared) -> Page {
     match shared.is_ready() {
-        true => (200, "ready\n".to_owned()),
-        false => (503, "not ready\n".to_owned()),
+        true => Page::text(http::StatusCode::OK, "ready\n"),
+        false => Page::text(http::StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
     }
 }
 
 fn metrics(shared: &Shared) -> String {
-    let mut text = String::new();
-    for (name, value) in shared.counters.list() {
-        // Writing to a string does not fail.
-        let _ = writeln!(text, "gateway_{name}_total {value}");
-    }
-    let _ = writeln!(text, "gateway_running {}", shared.running.get());
-    text
+    let catalog = shared.catalog.borrow();
+    let table = shared.table.borrow();
+    shared.counters.render(counters::Standing {
+        version: catalog.as_ref().map_or(0, |catalog| catalog.version()),
+        steward: table
+            .as_ref()
+            .is_some_and(|(_, table)| table.incarnation == shared.incarnation),
+        reader: !shared.is_relayed(),
+        running: shared.running.get(),
+    })
 }
 
-fn status(shared: &Shared) -> String {
+fn status(shared: &Shared) -> serde_json::Value {
     let now = clock::now();
     let registry = shared.registry.borrow();
     let targets: Vec<_> = registry
@@ -86,7 +148,7 @@
         .collect();
     let catalog = shared.catalog.borrow();
     let table = shared.table.borrow();
-    let status = serde_json::json!({
+    serde_json::json!({
         "host": shared.settings.host,
         "ready": shared.is_ready(),
         "version": catalog.as_ref().map(|catalog| catalog.version()),
@@ -94,6 +156,5 @@
         "daemons": shared.peers.borrow().live(now),
         "steward": table.as_ref().map(|(_, table)| table.host.clone()),
         "targets": targets,
-    });
-    format!("{status:#}\n")
+    })
 }
--- a/src/gateway/client.rs
+++ b/src/gateway/client.rs
@@ -15,6 +15,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use prometheus_client::metrics::counter::Counter;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
@@ -115,6 +116,7 @@
 #[derive(Default)]
 pub struct Client {
     idle: RefCell<HashMap<Peer, Vec<Connection>>>,
+    opened: Counter,
 }
 
 impl Client {
@@ -123,6 +125,15 @@
         Self::default()
     }
 
+    /// Returns a pool without connections that counts in `opened` the connections
+    /// that it opens to peers whose birth is known.
+    pub fn with_counter(opened: Counter) -> Self {
+        Self {
+            opened,
+            ..Self::default()
+        }
+    }
+
     /// Sends a request and returns the answer.
     ///
     /// A connection that proves closed before anything was sent is replaced.
@@ -146,6 +157,9 @@
             }
         }
         let connection = open(peer.address, connect).await?;
+        if peer.birth != 0 {
+            self.opened.inc();
+        }
         match Self::exchange(connection, request).await {
             Ok(done) => Ok(self.settle(peer, done, keep)),
             Err((failure, _)) => Err(failure),
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -23,6 +23,7 @@
 use crate::gateway::dialect;
 use crate::gateway::keys;
 use crate::gateway::shared::Shared;
+use crate::gateway::trace;
 
 /// Deadline of a request that names none and whose route has no limit, in milliseconds.
 const DEADLINE: u64 = 30_000;
@@ -49,6 +50,7 @@
     pub(crate) read: clock::Millis,
     pub(crate) end: clock::Millis,
     pub(crate) work: f64,
+    pub(crate) trace: Rc<trace::Trace>,
 }
 
 impl Resolved {
@@ -71,15 +73,17 @@
     shared: &'s Shared,
     held: Cell<usize>,
     done: Cell<bool>,
+    trace: Rc<trace::Trace>,
 }
 
 impl<'s> Guard<'s> {
-    fn new(shared: &'s Shared) -> Self {
+    fn new(shared: &'s Shared, start: clock::Millis) -> Self {
         shared.running.set(shared.running.get() + 1);
         Self {
             shared,
             held: Cell::new(0),
             done: Cell::new(false),
+            trace: Rc::new(trace::Trace::new(start)),
         }
     }
 
@@ -96,6 +100,7 @@
         shared.held.set(shared.held.get() - self.held.get());
         if !self.done.get() {
             counters::count(&shared.counters.abandoned);
+            shared.on_abandoned(&self.trace);
         }
     }
 }
@@ -104,7 +109,7 @@
 pub async fn serve(shared: Rc<Shared>, request: http::Request<Incoming>) -> http::Response<Body> {
     let start = clock::now();
     counters::count(&shared.counters.requests);
-    let guard = Guard::new(&shared);
+    let guard = Guard::new(&shared, start);
     let mut response = match read(&shared, &guard, request, start).await {
         Ok(ask) => {
             let response = run(&shared, &ask).await;
@@ -114,6 +119,7 @@
         Err(refusal) => refusal.reply(),
     };
     guard.done.set(true);
+    shared.on_response(&guard.trace, response.status());
     if shared.stopping.get() {
         let close = http::HeaderValue::from_static("close");
         response
@@ -156,6 +162,7 @@
         .resolve(host, parts.uri.path())
         .ok_or(Refusal::Fault(404, "no route"))?;
     let route = Rc::clone(route);
+    guard.trace.on_route(&route);
     let names = shared.dialect.names();
     let asked = head::number(&parts.headers, &names.deadline).unwrap_or(DEADLINE);
     let asked = asked.saturating_sub(RETURN.min(asked / 8));
@@ -175,6 +182,7 @@
         false => None,
     };
     let work = expected_work(shared, &route);
+    guard.trace.on_read();
     Ok(Resolved {
         headers: head::forwarded(&parts.headers, host, names),
         method: parts.method,
@@ -187,6 +195,7 @@
         read: clock::now(),
         end: start + limit,
         work,
+        trace: Rc::clone(&guard.trace),
     })
 }
 
--- a/src/gateway/exchange/attempt.rs
+++ b/src/gateway/exchange/attempt.rs
@@ -15,6 +15,7 @@
 use crate::gateway::exchange::{Resolved, head};
 use crate::gateway::registry;
 use crate::gateway::shared::Shared;
+use crate::gateway::trace;
 
 /// Longest time for a connection within a region, in milliseconds.
 const CONNECT_NEAR: u64 = 200;
@@ -162,7 +163,7 @@
     }
     started.end(choice::End::Answered(time), load);
     learn(shared, ask, time, load);
-    Verdict::Answer(pass(response))
+    Verdict::Answer(pass(response, shared.watch_cut(&ask.trace)))
 }
 
 /// Returns whether an answer names another request than the one that was sent.
@@ -193,11 +194,11 @@
 }
 
 /// Passes a target's answer on.
-fn pass(response: http::Response<client::Body>) -> http::Response<Body> {
+fn pass(response: http::Response<client::Body>, cut: trace::Cut) -> http::Response<Body> {
     let (parts, body) = response.into_parts();
     let body = match body {
         client::Body::Whole(bytes) => Body::Whole(Some(bytes)),
-        client::Body::Partial(first, rest) => relay(first, rest),
+        client::Body::Partial(first, rest) => relay(first, rest, cut),
     };
     let mut passed = http::Response::new(body);
     *passed.status_mut() = parts.status;
@@ -222,11 +223,14 @@
 }
 
 /// Passes the rest of a large body on while it arrives.
-fn relay(first: Bytes, mut rest: client::Stream) -> Body {
+fn relay(first: Bytes, mut rest: client::Stream, cut: trace::Cut) -> Body {
     let (sender, receiver) = tokio::sync::mpsc::channel(PARTS);
     tokio::task::spawn_local(async move {
         let mut part = Some(Ok(first));
         while let Some(data) = part {
+            if data.is_err() {
+                cut.record();
+            }
             // The caller has left if nobody receives.
             if sender.send(data).await.is_err() {
                 return;
--- a/src/gateway/executor.rs
+++ b/src/gateway/executor.rs
@@ -329,7 +329,8 @@
             call, owner, grant, ..
         } => {
             let request = shared.dialect.grant(&owner.target, &grant);
-            order(&shared, &machine, call, &owner, request, GRANT).await;
+            let kind = counters::OrderKind::Grant;
+            order(&shared, &machine, call, &owner, request, kind).await;
         }
         steward::Action::Release {
             call,
@@ -338,7 +339,8 @@
             ..
         } => {
             let request = shared.dialect.release(&owner.target, release);
-            order(&shared, &machine, call, &owner, request, RELEASE).await;
+            let kind = counters::OrderKind::Release;
+            order(&shared, &machine, call, &owner, request, kind).await;
         }
     }
     publish(&shared, &machine);
@@ -351,8 +353,9 @@
 
 async fn append(shared: &Shared, machine: &Steward, table: &[u8], end: model::Offset) {
     let request = shared.dialect.append(Topic::Table, KEY, table, Some(end));
-    let answer = feed::call(shared, request, APPEND).await;
+    let answer = feed::call(shared, Topic::Table, request, APPEND).await;
     let appended = answer.ok().map(|answer| shared.dialect.appended(&answer));
+    appended.inspect(|appended| shared.counters.on_call(Topic::Table, *appended));
     log::info!("key table appended at {end}: {appended:?}");
     machine.borrow_mut().on_appended(clock::now(), appended);
 }
@@ -364,7 +367,7 @@
     call: u64,
     owner: &keys::Owner,
     mut request: http::Request<bytes::Bytes>,
-    limit: u64,
+    kind: counters::OrderKind,
 ) {
     let Some(address) = address(shared, owner) else {
         return machine
@@ -385,6 +388,10 @@
         birth: owner.birth,
     };
     let answer = shared.client.call(peer, request, CONNECT);
+    let limit = match kind {
+        counters::OrderKind::Grant => GRANT,
+        counters::OrderKind::Release => RELEASE,
+    };
     let answer = tokio::time::timeout(Duration::from_millis(limit), answer).await;
     let reply = match answer {
         Ok(Ok(answer)) => match shared.dialect.ordered(&answer) {
@@ -399,6 +406,7 @@
         _ => steward::Reply::Silent,
     };
     log::debug!("order {call} to target {}: {reply:?}", owner.target);
+    shared.counters.on_order(kind, &reply);
     machine.borrow_mut().on_ordered(clock::now(), call, reply);
 }
 
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -63,6 +63,7 @@
 /// Sends a call to the log.
 pub(crate) async fn call(
     shared: &Shared,
+    topic: Topic,
     request: http::Request<bytes::Bytes>,
     limit: u64,
 ) -> Result<http::Response<bytes::Bytes>, Failure> {
@@ -79,6 +80,9 @@
         Ok(Ok(answer)) => Ok(answer),
         _ => {
             counters::count(&shared.counters.log_failures);
+            shared
+                .counters
+                .on_call(topic, counters::CallOutcome::Silent);
             Err(Failure::Silent)
         }
     }
@@ -102,8 +106,10 @@
     wait: u64,
 ) -> Result<dialect::Batch, Failure> {
     let request = shared.dialect.read(topic, from, wait);
-    let answer = call(shared, request, wait + ANSWER).await?;
-    Ok(shared.dialect.batch(from, &answer)?)
+    let answer = call(shared, topic, request, wait + ANSWER).await?;
+    let batch = shared.dialect.batch(from, &answer);
+    shared.counters.on_call(topic, &batch);
+    Ok(batch?)
 }
 
 /// Reads records from an offset on, and waits for one unless the log returns
@@ -130,8 +136,10 @@
     let mut after: Option<std::sync::Arc<str>> = None;
     loop {
         let request = shared.dialect.newest(topic, after.as_deref());
-        let answer = call(shared, request, ANSWER).await?;
-        let page = shared.dialect.page(&answer)?;
+        let answer = call(shared, topic, request, ANSWER).await?;
+        let page = shared.dialect.page(&answer);
+        shared.counters.on_call(topic, &page);
+        let page = page?;
         records.extend(page.records);
         // Pages are read one after the other, so that what was written since
         // the first one is read again.
@@ -318,10 +326,12 @@
     loop {
         let key = shared.settings.host.as_str();
         let request = shared.dialect.append(Topic::Hosts, key, &value, None);
-        if let Ok(answer) = call(&shared, request, ANSWER).await
-            && let dialect::Appended::Written(_) = shared.dialect.appended(&answer)
-        {
-            return;
+        if let Ok(answer) = call(&shared, Topic::Hosts, request, ANSWER).await {
+            let appended = shared.dialect.appended(&answer);
+            shared.counters.on_call(Topic::Hosts, appended);
+            if let dialect::Appended::Written(_) = appended {
+                return;
+            }
         }
         tokio::time::sleep(Duration::from_millis(PAUSE)).await;
     }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -94,13 +94,14 @@
         dialect: Rc<dyn dialect::Dialect>,
         socket: UdpSocket,
     ) -> Self {
+        let counters = counters::Counters::default();
         Self {
             region: settings.region(&settings.domain).cloned(),
             peers: RefCell::new(peers::Directory::new(settings.host.clone())),
             settings,
             incarnation: model::Incarnation(rand::random()),
             dialect,
-            client: client::Client::new(),
+            client: client::Client::with_counter(counters.connections.clone()),
             catalog: RefCell::default(),
             taken_out: RefCell::default(),
             registry: RefCell::default(),
@@ -124,7 +125,7 @@
             connections: Cell::default(),
             running: Cell::default(),
             held: Cell::default(),
-            counters: counters::Counters::default(),
+            counters,
         }
     }
 
