--- a/src/gateway/admin.rs
+++ b/src/gateway/admin.rs
@@ -12,7 +12,9 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::clock;
+use crate::finding;
 use crate::gateway::counters;
+use crate::gateway::query;
 use crate::gateway::shared::Shared;
 
 /// Answers on the admin port until the process ends.
@@ -29,7 +31,7 @@
 
 async fn serve(shared: Rc<Shared>, stream: TcpStream) {
     let handler = service::service_fn(move |request: http::Request<Incoming>| {
-        let response = answer(&shared, request.uri().path()).into_response();
+        let response = answer(&shared, request.uri()).into_response();
         async move { Ok::<_, std::convert::Infallible>(response) }
     });
     // A caller that breaks off has no further interest in the answer.
@@ -97,7 +99,30 @@
     }
 }
 
-fn answer(shared: &Shared, path: &str) -> Page {
+fn answer(shared: &Shared, uri: &http::Uri) -> Page {
+    let path = uri.path();
+    let page = match path {
+        "/admin/status" => status_page(shared, uri),
+        "/admin/history" => history_page(shared, uri),
+        _ => Ok(plain_page(shared, path)),
+    };
+    page.unwrap_or_else(|findings| {
+        Page::text(http::StatusCode::BAD_REQUEST, format!("{findings}\n"))
+    })
+}
+
+fn status_page(shared: &Shared, uri: &http::Uri) -> Result<Page, finding::Findings> {
+    query::Query::parse(uri.path(), uri.query(), &[])?;
+    Ok(Page::json(&status(shared)))
+}
+
+fn history_page(shared: &Shared, uri: &http::Uri) -> Result<Page, finding::Findings> {
+    query::Query::parse(uri.path(), uri.query(), &[])?;
+    let history = shared.history.read(clock::now(), &shared.settings.host);
+    Ok(Page::json(&history))
+}
+
+fn plain_page(shared: &Shared, path: &str) -> Page {
     match path {
         "/live" => Page::text(http::StatusCode::OK, "live\n"),
         "/metrics" => Page {
@@ -105,7 +130,6 @@
             media: Media::Metrics,
             text: metrics(shared),
         },
-        "/admin/status" => Page::json(&status(shared)),
         path if path == "/ready" || path == shared.settings.ready_path => ready(shared),
         _ => Page::text(http::StatusCode::NOT_FOUND, "no such page\n"),
     }
--- a/src/gateway/executor.rs
+++ b/src/gateway/executor.rs
@@ -182,6 +182,8 @@
 fn show(shared: &Shared, offset: model::Offset, table: keys::Table) {
     let mut known = shared.table.borrow_mut();
     if known.as_ref().is_none_or(|(newest, _)| *newest < offset) {
+        let old = known.as_ref().map(|(_, old)| &**old);
+        shared.history.on_table(clock::now(), offset, old, &table);
         *known = Some((offset, Rc::new(table)));
         drop(known);
         shared.moved.notify_waiters();
@@ -233,6 +235,8 @@
             }
             state.on_targets(now, shared.listed_at.get(), members, services);
             let actions = state.poll(now, rank);
+            let silent = state.silent_owners();
+            shared.history.set_silent(now, state.offset(), silent);
             drop(state);
             for action in actions {
                 let (shared, machine) = (Rc::clone(&shared), Rc::clone(&machine));
--- a/src/gateway/feed/readers.rs
+++ b/src/gateway/feed/readers.rs
@@ -41,6 +41,7 @@
             }
             _ => {}
         }
+        self.shared.on_domains(record.offset);
     }
 
     fn configure(&self, offset: model::Offset, value: &[u8]) {
@@ -63,6 +64,7 @@
         );
         let catalog = Rc::new(catalog::Catalog::new(revision));
         self.shared.splits.borrow_mut().retain(&catalog);
+        self.shared.on_configuration(offset, catalog.version());
         self.shared.counters.set_routes(&catalog);
         *self.shared.catalog.borrow_mut() = Some(catalog);
         self.shared.wake_steward.notify_one();
@@ -70,7 +72,7 @@
 }
 
 impl Reader for Operator {
-    fn replace(&mut self, records: Vec<dialect::Record>, _end: model::Offset, _source: Source) {
+    fn replace(&mut self, records: Vec<dialect::Record>, end: model::Offset, _source: Source) {
         let kept: Vec<_> = records
             .iter()
             .filter(|record| record.value.is_some())
@@ -80,6 +82,7 @@
             .taken_out
             .borrow_mut()
             .retain(|domain, _| kept.contains(&dialect::Subject::TakenOut(domain.clone())));
+        self.shared.on_domains(end);
         for record in &records {
             self.take(record);
         }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -15,6 +15,7 @@
 use crate::gateway::client;
 use crate::gateway::counters;
 use crate::gateway::dialect;
+use crate::gateway::history;
 use crate::gateway::keys;
 use crate::gateway::peers;
 use crate::gateway::quota;
@@ -83,6 +84,8 @@
     pub running: Cell<usize>,
     /// Bytes of bodies that are held.
     pub held: Cell<usize>,
+    /// Last events, for operators.
+    pub history: history::Ring,
     /// Counters for operators.
     pub counters: counters::Counters,
 }
@@ -125,6 +128,7 @@
             connections: Cell::default(),
             running: Cell::default(),
             held: Cell::default(),
+            history: history::Ring::new(clock::now()),
             counters,
         }
     }
--- a/src/gateway/steward/quiet.rs
+++ b/src/gateway/steward/quiet.rs
@@ -1,6 +1,7 @@
 //! Targets that don't answer orders, and what proves that they have ended.
 
 use crate::clock;
+use crate::gateway::keys;
 
 /// Orders that a target did not answer.
 #[derive(Clone, Debug)]
@@ -60,3 +61,11 @@
         self.refusal != Refusal::None || self.is_silent()
     }
 }
+
+impl super::Steward {
+    /// Iterates over the owners that get no keys, since they do not answer orders.
+    pub fn silent_owners(&self) -> impl Iterator<Item = &keys::Owner> {
+        let silent = self.quiet.iter().filter(|(_, quiet)| quiet.is_avoided());
+        silent.map(|(owner, _)| owner)
+    }
+}
