Explain where a gateway's request goes, and what became of one

/admin/explain makes the checks of the choice without counting or sending anything. The last 400 requests that did not end well are kept with their attempts, and found by the identifier that their caller set.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -16,6 +16,7 @@
 pub mod peers;
 pub mod query;
 pub mod quota;
+pub mod recent;
 pub mod registry;
 pub mod relay;
 pub mod settings;
--- a/src/gateway/admin.rs
+++ b/src/gateway/admin.rs
@@ -14,6 +14,7 @@
 use crate::clock;
 use crate::finding;
 use crate::gateway::counters;
+use crate::gateway::exchange::explain;
 use crate::gateway::query;
 use crate::gateway::shared::Shared;
 
@@ -104,6 +105,8 @@
     let page = match path {
         "/admin/status" => status_page(shared, uri),
         "/admin/history" => history_page(shared, uri),
+        "/admin/explain" => explain_page(shared, uri),
+        "/admin/requests" => requests_page(shared, uri),
         _ => Ok(plain_page(shared, path)),
     };
     page.unwrap_or_else(|findings| {
@@ -122,6 +125,42 @@
     Ok(Page::json(&history))
 }
 
+fn requests_page(shared: &Shared, uri: &http::Uri) -> Result<Page, finding::Findings> {
+    query::Query::parse(uri.path(), uri.query(), &[])?;
+    Ok(Page::json(&shared.recent.all()))
+}
+
+fn explain_page(shared: &Shared, uri: &http::Uri) -> Result<Page, finding::Findings> {
+    let names = ["host", "path", "key", "request"];
+    let query = query::Query::parse(uri.path(), uri.query(), &names)?;
+    let [host, path, key, request] = names.map(|name| query.get(name));
+    match (request, host.or(path).or(key)) {
+        (Some(request), None) => Ok(request_page(shared, request)),
+        (Some(_), Some(other)) => {
+            let mut findings = finding::Findings::default();
+            let place = format!("{}, parameter request", uri.path());
+            findings.add(place, "no other parameter beside it", format!("{other:?}"));
+            Err(findings)
+        }
+        (None, _) => {
+            let question = explain::Question::new(uri.path(), host, path, key)?;
+            Ok(Page::json(&explain::explain(shared, &question)))
+        }
+    }
+}
+
+fn request_page(shared: &Shared, request: &str) -> Page {
+    let found = shared.recent.find(request);
+    if !found.is_empty() {
+        return Page::json(&found);
+    }
+    let text = format!(
+        "request {request:?} is not kept by this daemon: it ended well, was sent to another \
+         daemon, or ended too long ago\n"
+    );
+    Page::text(http::StatusCode::NOT_FOUND, text)
+}
+
 fn plain_page(shared: &Shared, path: &str) -> Page {
     match path {
         "/live" => Page::text(http::StatusCode::OK, "live\n"),
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod budget;
 mod choose;
+pub mod explain;
 mod head;
 mod reply;
 
@@ -119,7 +120,7 @@
         Err(refusal) => refusal.reply(),
     };
     guard.done.set(true);
-    shared.on_response(&guard.trace, response.status());
+    shared.on_response(&guard.trace, &response);
     if shared.stopping.get() {
         let close = http::HeaderValue::from_static("close");
         response
@@ -162,7 +163,9 @@
         .resolve(host, parts.uri.path())
         .ok_or(Refusal::Fault(404, "no route"))?;
     let route = Rc::clone(route);
-    guard.trace.on_route(&route);
+    guard
+        .trace
+        .on_route(&route, parts.headers.get(&shared.dialect.names().request));
     let names = shared.dialect.names();
     let asked = head::number(&parts.headers, &names.deadline).unwrap_or(DEADLINE);
     let asked = asked.saturating_sub(RETURN.min(asked / 8));
--- a/src/gateway/exchange/attempt.rs
+++ b/src/gateway/exchange/attempt.rs
@@ -50,12 +50,15 @@
     shared: &'s Shared,
     life: choice::Life,
     work: f64,
+    trace: &'s trace::Trace,
+    begin: clock::Millis,
     open: Cell<bool>,
 }
 
 impl Started<'_> {
     fn end(&self, end: choice::End, load: Option<dialect::Load>) {
         self.open.set(false);
+        self.trace.on_attempt(&self.life, self.begin, end);
         let mut table = self.shared.choice.borrow_mut();
         table.on_end(&self.life, end, self.work, load, clock::now());
     }
@@ -93,14 +96,16 @@
             return Verdict::Failed(reply::fault(400, "the request can't be passed on"));
         };
         shared.choice.borrow_mut().on_start(&self.life);
+        let begin = clock::now();
         let started = Started {
             shared,
             life: self.life.clone(),
             work: ask.work,
+            trace: &ask.trace,
+            begin,
             open: Cell::new(true),
         };
         sent.set(true);
-        let begin = clock::now();
         let peer = client::Peer {
             address: self.target.address,
             birth: self.target.birth,
--- a/src/gateway/exchange/choose.rs
+++ b/src/gateway/exchange/choose.rs
@@ -64,7 +64,7 @@
 ///
 /// A target without a key gets its first requests from daemons of its own
 /// failure domain only; a keyed one from all, since only the owner can serve.
-fn may_warm(
+pub(crate) fn may_warm(
     shared: &Shared,
     target: &registry::Target,
     life: &choice::Life,
@@ -182,7 +182,11 @@
 
 /// Returns whether a keyed target may get requests although it leaves: until
 /// shortly before the bound of a drain or of a domain taken out.
-fn may_still_serve(shared: &Shared, target: &registry::Target, now: clock::Millis) -> bool {
+pub(crate) fn may_still_serve(
+    shared: &Shared,
+    target: &registry::Target,
+    now: clock::Millis,
+) -> bool {
     let bound = shared.settings.bounds.drain.0 / 2;
     if target.state == dialect::EntryState::Draining && now.since(target.since) > bound {
         return false;
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -19,6 +19,7 @@
 use crate::gateway::keys;
 use crate::gateway::peers;
 use crate::gateway::quota;
+use crate::gateway::recent;
 use crate::gateway::registry;
 use crate::gateway::relay;
 use crate::gateway::settings;
@@ -86,6 +87,8 @@
     pub held: Cell<usize>,
     /// Last events, for operators.
     pub history: history::Ring,
+    /// Last requests that did not end well, for operators.
+    pub recent: Rc<recent::Ring>,
     /// Counters for operators.
     pub counters: counters::Counters,
 }
@@ -129,6 +132,7 @@
             running: Cell::default(),
             held: Cell::default(),
             history: history::Ring::new(clock::now()),
+            recent: Rc::default(),
             counters,
         }
     }
