Report the service-level burn of a gateway's routes

/admin/burn counts requests by route that met the latency objective, were late, refused or failed, and judges them by the windows of src/burn, whose buckets now hold any counts.

--- a/src/burn.rs
+++ b/src/burn.rs
@@ -8,6 +8,7 @@
 pub mod page;
 pub mod report;
 
+pub(crate) use count::{Buckets, FINE};
 pub use count::{Counted, Counts, Reply, Series, Table};
 
 /// Two windows that must both burn faster than a threshold.
--- a/src/burn/count.rs
+++ b/src/burn/count.rs
@@ -1,6 +1,7 @@
 //! Good and total requests of each service in buckets of time, in memory.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::ops::AddAssign;
 
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
@@ -9,7 +10,7 @@
 use crate::model;
 
 /// Width of a fine bucket, in milliseconds.
-const FINE: u64 = 10_000;
+pub(crate) const FINE: u64 = 10_000;
 /// Fine buckets kept: the last hour, and the one that is not complete yet.
 const FINE_KEPT: u64 = 361;
 /// Width of a coarse bucket, in milliseconds.
@@ -26,11 +27,17 @@
     pub total: u64,
 }
 
+impl AddAssign for Counts {
+    fn add_assign(&mut self, other: Self) {
+        self.good += other.good;
+        self.total += other.total;
+    }
+}
+
 impl Counts {
     /// Adds other counts.
     pub fn add(&mut self, other: Self) {
-        self.good += other.good;
-        self.total += other.total;
+        *self += other;
     }
 
     /// Returns the share of requests that were not good; 0 without requests.
@@ -78,14 +85,15 @@
 
 /// Buckets of one width, oldest first, each with the number of its time.
 #[derive(Debug)]
-struct Buckets {
+pub(crate) struct Buckets<T> {
     width: u64,
     kept: u64,
-    filled: VecDeque<(u64, Counts)>,
+    filled: VecDeque<(u64, T)>,
 }
 
-impl Buckets {
-    fn new(width: u64, kept: u64) -> Self {
+impl<T: Copy + Default + AddAssign> Buckets<T> {
+    /// Returns no counts; the newest `kept` buckets of `width` milliseconds stay.
+    pub(crate) fn new(width: u64, kept: u64) -> Self {
         Self {
             width,
             kept,
@@ -93,11 +101,12 @@
         }
     }
 
-    fn add(&mut self, now: clock::Millis, counts: Counts) {
+    /// Adds counts to the bucket of `now`.
+    pub(crate) fn add(&mut self, now: clock::Millis, counts: T) {
         let number = now.0 / self.width;
         match self.filled.back_mut() {
             // A request that ended earlier may be counted later.
-            Some((last, bucket)) if *last >= number => bucket.add(counts),
+            Some((last, bucket)) if *last >= number => *bucket += counts,
             _ => self.filled.push_back((number, counts)),
         }
         while self
@@ -109,7 +118,8 @@
         }
     }
 
-    fn series(&self, now: clock::Millis) -> Series {
+    /// Returns the counts of all buckets by age at `now`, the newest first.
+    pub(crate) fn by_age(&self, now: clock::Millis) -> Vec<T> {
         let number = now.0 / self.width;
         let mut buckets = Vec::new();
         for (at, counts) in self.filled.iter().rev() {
@@ -117,20 +127,26 @@
             if age >= self.kept {
                 break;
             }
-            buckets.resize((age as usize + 1).max(buckets.len()), Counts::default());
-            buckets[age as usize].add(*counts);
+            buckets.resize((age as usize + 1).max(buckets.len()), T::default());
+            buckets[age as usize] += *counts;
         }
+        buckets
+    }
+}
+
+impl Buckets<Counts> {
+    fn series(&self, now: clock::Millis) -> Series {
         Series {
             width: self.width,
-            buckets,
+            buckets: self.by_age(now),
         }
     }
 }
 
 #[derive(Debug)]
 struct Service {
-    fine: Buckets,
-    coarse: Buckets,
+    fine: Buckets<Counts>,
+    coarse: Buckets<Counts>,
 }
 
 /// Counts of all services of one daemon.
@@ -191,6 +207,11 @@
         }
     }
 
+    /// Drops the counts of services that `keep` does not accept.
+    pub fn retain(&self, keep: impl Fn(&model::ServiceName) -> bool) {
+        self.services.lock().retain(|name, _| keep(name));
+    }
+
     /// Returns all counts at `now`, for a daemon on `host`.
     pub fn reply(&self, host: &model::HostName, now: clock::Millis) -> Reply {
         let services = self.services.lock();
--- a/src/burn/report.rs
+++ b/src/burn/report.rs
@@ -85,7 +85,11 @@
     }
     let services = merged.into_iter().filter_map(|(name, (fine, coarse))| {
         let objective = config.services.get(&name)?;
-        Some(service(objective, fine, coarse))
+        let objective = Objective {
+            slo_ms: objective.slo_ms,
+            slo_ppm: objective.slo_ppm,
+        };
+        Some(Service::new(name, objective, fine, coarse))
     });
     Report {
         services: services.collect(),
@@ -94,33 +98,50 @@
     }
 }
 
-fn service(objective: &state::Service, fine: Series, coarse: Series) -> Service {
-    let window = |length: u64| {
-        let series = if length <= FINE { &fine } else { &coarse };
-        let counts = series.sum(length);
-        Window {
-            window_ms: length,
-            counts,
-            rate: rate(counts, objective.slo_ppm),
-        }
-    };
-    let rules = burn::RULES.iter().map(|rule| {
-        let (short, long) = (window(rule.short), window(rule.long));
-        Rule {
-            threshold: rule.threshold,
-            firing: short.rate > rule.threshold && long.rate > rule.threshold,
-            short,
-            long,
+/// What a service promises.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Objective {
+    /// Time within which a request is good, in milliseconds.
+    pub slo_ms: u64,
+    /// Share of requests that must be good, in millionths.
+    pub slo_ppm: u32,
+}
+
+impl Service {
+    /// Judges the counts of a service by the usual rules.
+    pub fn new(
+        service: model::ServiceName,
+        objective: Objective,
+        fine: Series,
+        coarse: Series,
+    ) -> Self {
+        let window = |length: u64| {
+            let series = if length <= FINE { &fine } else { &coarse };
+            let counts = series.sum(length);
+            Window {
+                window_ms: length,
+                counts,
+                rate: rate(counts, objective.slo_ppm),
+            }
+        };
+        let rules = burn::RULES.iter().map(|rule| {
+            let (short, long) = (window(rule.short), window(rule.long));
+            Rule {
+                threshold: rule.threshold,
+                firing: short.rate > rule.threshold && long.rate > rule.threshold,
+                short,
+                long,
+            }
+        });
+        let rules = rules.collect();
+        Self {
+            service,
+            slo_ms: objective.slo_ms,
+            slo_ppm: objective.slo_ppm,
+            rules,
+            fine,
+            coarse,
         }
-    });
-    let rules = rules.collect();
-    Service {
-        service: objective.name.clone(),
-        slo_ms: objective.slo_ms,
-        slo_ppm: objective.slo_ppm,
-        rules,
-        fine,
-        coarse,
     }
 }
 
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -5,6 +5,7 @@
 //! that must last stands in the platform's log. `docs/platform.md` gives the
 //! decisions, their bounds, and what happens when each part fails.
 
+pub mod burn;
 pub mod catalog;
 pub mod choice;
 pub mod client;
--- a/src/gateway/admin.rs
+++ b/src/gateway/admin.rs
@@ -107,6 +107,7 @@
         "/admin/history" => history_page(shared, uri),
         "/admin/explain" => explain_page(shared, uri),
         "/admin/requests" => requests_page(shared, uri),
+        "/admin/burn" => burn_page(shared, uri),
         _ => Ok(plain_page(shared, path)),
     };
     page.unwrap_or_else(|findings| {
@@ -125,6 +126,17 @@
     Ok(Page::json(&history))
 }
 
+fn burn_page(shared: &Shared, uri: &http::Uri) -> Result<Page, finding::Findings> {
+    query::Query::parse(uri.path(), uri.query(), &[])?;
+    let settings = &shared.settings;
+    let slo = settings.service_level.slo_ppm;
+    Ok(Page::json(&shared.burn.page(
+        &settings.host,
+        slo,
+        clock::now(),
+    )))
+}
+
 fn requests_page(shared: &Shared, uri: &http::Uri) -> Result<Page, finding::Findings> {
     query::Query::parse(uri.path(), uri.query(), &[])?;
     Ok(Page::json(&shared.recent.all()))
--- a/src/gateway/feed/readers.rs
+++ b/src/gateway/feed/readers.rs
@@ -64,8 +64,7 @@
         );
         let catalog = Rc::new(catalog::Catalog::new(revision));
         self.shared.splits.borrow_mut().retain(&catalog);
-        self.shared.on_configuration(offset, catalog.version());
-        self.shared.counters.set_routes(&catalog);
+        self.shared.on_configuration(offset, &catalog);
         *self.shared.catalog.borrow_mut() = Some(catalog);
         self.shared.wake_steward.notify_one();
     }
--- a/src/gateway/history.rs
+++ b/src/gateway/history.rs
@@ -271,10 +271,4 @@
         self.history
             .set_domains(clock::now(), offset, taken_out.keys());
     }
-
-    /// Takes note of a configuration that is about to be in effect.
-    pub(crate) fn on_configuration(&self, offset: model::Offset, version: u64) {
-        let event = Event::Configuration { version };
-        self.history.add(clock::now(), Some(offset), event);
-    }
 }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -36,6 +36,9 @@
     /// Choice of targets.
     #[serde(default)]
     pub policy: Policy,
+    /// What routes promise.
+    #[serde(default)]
+    pub service_level: ServiceLevel,
     /// Logging.
     #[serde(default)]
     pub logs: Logs,
@@ -132,6 +135,21 @@
     }
 }
 
+/// What routes promise beside their latency objectives.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ServiceLevel {
+    /// Share of requests that must be answered within their route's objective,
+    /// in millionths.
+    pub slo_ppm: u32,
+}
+
+impl Default for ServiceLevel {
+    fn default() -> Self {
+        Self { slo_ppm: 990_000 }
+    }
+}
+
 /// Logging.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -248,6 +266,13 @@
             format!("{:?}", settings.logs.level),
         );
     }
+    if settings.service_level.slo_ppm > 1_000_000 {
+        findings.add(
+            format!("{place} at service_level.slo_ppm"),
+            "a number from 0 to 1000000",
+            settings.service_level.slo_ppm.to_string(),
+        );
+    }
     let shares = [
         ("retry_share", settings.bounds.retry_share),
         ("retry_extra", settings.bounds.retry_extra),
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -10,6 +10,7 @@
 use tokio::sync::Notify;
 
 use crate::clock;
+use crate::gateway::burn;
 use crate::gateway::catalog;
 use crate::gateway::choice;
 use crate::gateway::client;
@@ -89,6 +90,8 @@
     pub history: history::Ring,
     /// Last requests that did not end well, for operators.
     pub recent: Rc<recent::Ring>,
+    /// Service-level burn of routes, for operators.
+    pub(crate) burn: Rc<burn::Table>,
     /// Counters for operators.
     pub counters: counters::Counters,
 }
@@ -133,6 +136,7 @@
             held: Cell::default(),
             history: history::Ring::new(clock::now()),
             recent: Rc::default(),
+            burn: Rc::new(burn::Table::new(clock::now())),
             counters,
         }
     }
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -7,11 +7,15 @@
 use prometheus_client::metrics::counter::Counter;
 
 use crate::clock;
+use crate::gateway::burn;
+use crate::gateway::catalog;
 use crate::gateway::choice;
 use crate::gateway::dialect;
 use crate::gateway::exchange;
+use crate::gateway::history;
 use crate::gateway::recent;
 use crate::gateway::shared::Shared;
+use crate::model;
 
 /// How a request ended, as its caller sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -191,6 +195,7 @@
 pub(crate) struct Cut {
     counter: Option<Counter>,
     recent: Rc<recent::Ring>,
+    burn: Rc<burn::Table>,
     trace: Rc<Trace>,
 }
 
@@ -199,9 +204,11 @@
         let Some(head) = self.trace.head.get() else {
             return;
         };
-        let ms = clock::now().since(self.trace.start);
-        let outcome = Outcome::Cut.label();
-        self.recent.add(self.trace.entry(head, outcome, ms));
+        let now = clock::now();
+        let ms = now.since(self.trace.start);
+        let outcome = Outcome::Cut;
+        self.recent.add(self.trace.entry(head, outcome.label(), ms));
+        self.burn.record(&head.route, outcome, ms, now);
         if let Some(counter) = &self.counter {
             counter.inc();
         }
@@ -209,6 +216,15 @@
 }
 
 impl Shared {
+    /// Takes note of a configuration that is about to be in effect.
+    pub(crate) fn on_configuration(&self, offset: model::Offset, catalog: &catalog::Catalog) {
+        let version = catalog.version();
+        let event = history::Event::Configuration { version };
+        self.history.add(clock::now(), Some(offset), event);
+        self.counters.set_routes(catalog);
+        self.burn.set_routes(catalog);
+    }
+
     /// Takes note of a request whose answer's head is about to be sent.
     pub(crate) fn on_response(&self, trace: &Trace, response: &http::Response<exchange::Body>) {
         let outcome = trace.outcome(response.status());
@@ -229,8 +245,10 @@
         let Some(head) = trace.head.get() else {
             return;
         };
-        let ms = clock::now().since(trace.start);
+        let now = clock::now();
+        let ms = now.since(trace.start);
         self.counters.on_request(&head.route.name, outcome, ms);
+        self.burn.record(&head.route, outcome, ms, now);
         let late = outcome == Outcome::Answered && ms > head.route.objective;
         if outcome == Outcome::Answered && !late {
             return;
@@ -251,6 +269,7 @@
         Cut {
             counter: head.and_then(|head| self.counters.cut_of(&head.route.name)),
             recent: Rc::clone(&self.recent),
+            burn: Rc::clone(&self.burn),
             trace: Rc::clone(trace),
         }
     }
--- /dev/null
+++ b/tests/gateway_burn.rs
@@ -0,0 +1,92 @@
+//! Service-level burn of a gateway's routes.
+
+use pistachiomoor::gateway::trace::Outcome;
+use pistachiomoor::gateway::{burn, catalog, dialect};
+use pistachiomoor::{burn as windows, clock};
+
+const OBJECTIVE: u64 = 100;
+const SLO: u32 = 990_000;
+
+fn route(name: &str) -> dialect::Route {
+    dialect::Route {
+        name: name.into(),
+        host: "app.test".into(),
+        prefix: "/".into(),
+        kind: dialect::Kind::Idempotent,
+        backends: Vec::new(),
+        timeout: None,
+        objective: OBJECTIVE,
+        attempts: 1,
+        priority: 0,
+        regions: Vec::new(),
+    }
+}
+
+fn table(routes: &[dialect::Route]) -> burn::Table {
+    let table = burn::Table::new(clock::Millis(0));
+    set_routes(&table, routes);
+    table
+}
+
+fn set_routes(table: &burn::Table, routes: &[dialect::Route]) {
+    table.set_routes(&catalog::Catalog::new(dialect::Revision {
+        routes: routes.to_vec(),
+        ..Default::default()
+    }));
+}
+
+/// Guards against requests in the wrong class, and against callers' faults and
+/// early departures that use up the allowance.
+#[test]
+fn record_classes() {
+    let route = route("r");
+    let table = table(std::slice::from_ref(&route));
+    let now = clock::Millis(1_000_000);
+    for (outcome, ms) in [
+        (Outcome::Answered, OBJECTIVE),
+        (Outcome::Answered, OBJECTIVE + 1),
+        (Outcome::Abandoned, OBJECTIVE + 1),
+        (Outcome::Abandoned, OBJECTIVE),
+        (Outcome::Faulty, 1),
+        (Outcome::Refused, 1),
+        (Outcome::Unknown, 1),
+        (Outcome::Cut, 1),
+    ] {
+        table.record(&route, outcome, ms, now);
+    }
+    let page = table.page(&"h".into(), SLO, now);
+    let expected = burn::Classes {
+        met: 1,
+        late: 2,
+        refused: 1,
+        failed: 2,
+    };
+    assert_eq!(page.routes[0].windows[0].requests, expected);
+    let counts = page.report.services[0].rules[0].short.counts;
+    assert_eq!(counts, windows::Counts { good: 1, total: 6 });
+    assert!(page.report.services[0].rules[0].firing);
+    let later = table.page(&"h".into(), SLO, now + 400_000);
+    assert_eq!(later.routes[0].windows[1].requests, Default::default());
+}
+
+/// Guards against counts of routes that no longer exist, which would grow
+/// without bound, and against counts lost when a route only changes.
+#[test]
+fn routes_replaced() {
+    let (kept, gone) = (route("kept"), route("gone"));
+    let table = table(&[kept.clone(), gone.clone()]);
+    let now = clock::Millis(1_000_000);
+    for route in [&kept, &gone] {
+        table.record(route, Outcome::Refused, 1, now);
+    }
+    let changed = dialect::Route {
+        objective: 7,
+        ..kept
+    };
+    set_routes(&table, std::slice::from_ref(&changed));
+    table.record(&gone, Outcome::Refused, 1, now);
+    let page = table.page(&"h".into(), SLO, now);
+    assert_eq!((page.routes.len(), page.report.services.len()), (1, 1));
+    assert_eq!(page.routes[0].windows[0].requests.refused, 1);
+    assert_eq!(page.report.services[0].slo_ms, 7);
+}
