--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -3,6 +3,7 @@
 pub mod check;
 pub mod confirm;
 pub mod explain;
+pub mod gateway;
 pub mod history;
 pub mod output;
 pub mod plan;
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -2,9 +2,14 @@
 
 use std::net::SocketAddr;
 
+use serde::{Deserialize, Serialize};
+
 use crate::admin::confirm::Origin;
 use crate::admin::{explain, requests};
 use crate::cmd::{self, output};
+use crate::finding;
+use crate::gateway::exchange::explain as gateway_explain;
+use crate::gateway::{query, recent};
 
 /// What to explain.
 #[derive(Clone, Debug)]
@@ -18,12 +23,63 @@
         /// Value of the header `tenant`.
         tenant: Option<String>,
     },
+    /// A request that could be sent to a gateway.
+    Route {
+        /// Host that it names.
+        host: String,
+        /// Path.
+        path: String,
+        /// Key, if it has one.
+        key: Option<String>,
+    },
     /// A request that was answered, by the response's header `request-id`.
     Request(String),
     /// Recent requests that were slow, retried or refused.
     Recent,
 }
 
+impl Question {
+    /// Returns the question about a request that names `host`, if it names one;
+    /// only a gateway asks for it.
+    ///
+    /// # Errors
+    /// Fails if a tenant is given beside a host: a gateway knows no tenants.
+    pub fn place(
+        host: Option<String>,
+        path: String,
+        key: Option<String>,
+        tenant: Option<String>,
+    ) -> Result<Self, finding::Findings> {
+        match (host, tenant) {
+            (None, tenant) => Ok(Self::Place { path, key, tenant }),
+            (Some(host), None) => Ok(Self::Route { host, path, key }),
+            (Some(_), Some(tenant)) => {
+                let mut findings = finding::Findings::default();
+                let expected = "no tenant beside --host, which is for gateways";
+                findings.add("command line, --tenant", expected, format!("{tenant:?}"));
+                Err(findings)
+            }
+        }
+    }
+}
+
+/// A request as daemons of either mode keep it; a gateway's caller may have used
+/// its identifier more than once.
+#[derive(Serialize, Deserialize)]
+#[serde(untagged)]
+enum Found {
+    Daemon(Box<requests::Entry>),
+    Gateway(Vec<recent::Entry>),
+}
+
+/// Recent requests as daemons of either mode list them.
+#[derive(Serialize, Deserialize)]
+#[serde(untagged)]
+enum Recent {
+    Daemon(Vec<requests::Entry>),
+    Gateway(Vec<recent::Entry>),
+}
+
 /// Prints the explanation by the daemon whose admin port is `admin`.
 ///
 /// # Errors
@@ -41,13 +97,31 @@
             let explanation: explain::Explanation = client.json_with(&path, &headers)?;
             format.print(&explanation, place_text);
         }
+        Question::Route { host, path, key } => {
+            let mut page = format!(
+                "/admin/explain?host={}&path={}",
+                query::encode(host),
+                query::encode(path)
+            );
+            if let Some(key) = key {
+                page.push_str(&format!("&key={}", query::encode(key)));
+            }
+            let explanation: gateway_explain::Explanation = client.json(&page)?;
+            format.print(&explanation, cmd::gateway::explanation_text);
+        }
         Question::Request(id) => {
-            let entry: requests::Entry = client.json(&format!("/admin/requests?id={id}"))?;
-            format.print(&entry, entry_text);
+            let found: Found = client.json(&format!("/admin/requests?id={id}"))?;
+            format.print(&found, |found| match found {
+                Found::Daemon(entry) => entry_text(entry),
+                Found::Gateway(entries) => cmd::gateway::requests_text(entries),
+            });
         }
         Question::Recent => {
-            let entries: Vec<requests::Entry> = client.json("/admin/requests")?;
-            format.print(&entries, |entries| recent_text(entries));
+            let recent: Recent = client.json("/admin/requests")?;
+            format.print(&recent, |recent| match recent {
+                Recent::Daemon(entries) => recent_text(entries),
+                Recent::Gateway(entries) => cmd::gateway::requests_text(entries),
+            });
         }
     }
     Ok(())
--- a/src/cmd/history.rs
+++ b/src/cmd/history.rs
@@ -1,4 +1,5 @@
-//! `history`: who decided what and when, read from the log.
+//! `history`: who decided what and when, read from the log, or what a gateway
+//! daemon saw last.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -6,6 +7,7 @@
 use serde::Serialize;
 
 use crate::cmd::{self, output};
+use crate::gateway;
 use crate::journal;
 use crate::model;
 use crate::state;
@@ -186,6 +188,16 @@
     Ok(())
 }
 
+/// Prints the last events of the gateway daemon whose admin port is `admin`.
+///
+/// # Errors
+/// Fails if the daemon does not answer, or is none of a gateway.
+pub fn run_gateway(admin: SocketAddr, format: cmd::Format) -> Result<(), cmd::Error> {
+    let history: gateway::history::History = cmd::Admin::new(admin).json("/admin/history")?;
+    format.print(&history, cmd::gateway::history_text);
+    Ok(())
+}
+
 fn verdict_text(verdict: &state::Verdict) -> String {
     match verdict {
         state::Verdict::Accepted => "accepted".to_owned(),
--- a/src/cmd/report.rs
+++ b/src/cmd/report.rs
@@ -1,4 +1,4 @@
-//! `report`: service-level burn over all daemons.
+//! `report`: service-level burn over all daemons, or of one gateway daemon.
 
 use std::net::SocketAddr;
 use std::path::Path;
@@ -6,6 +6,7 @@
 
 use crate::burn;
 use crate::cmd;
+use crate::gateway;
 
 /// Prints the report of the daemon whose admin port is `admin`, and writes a
 /// page to `html` if that is given.
@@ -13,11 +14,14 @@
 /// # Errors
 /// Fails if the daemon does not answer or the page can't be written.
 pub fn run(admin: SocketAddr, html: Option<&Path>, format: cmd::Format) -> Result<(), cmd::Error> {
-    let report: burn::report::Report = cmd::Admin::new(admin).json("/admin/burn")?;
+    let answer: gateway::burn::Page = cmd::Admin::new(admin).json("/admin/burn")?;
     if let Some(path) = html {
         let now = humantime::format_rfc3339_seconds(SystemTime::now()).to_string();
-        cmd::write(path, burn::page::render(&report, &now)?.as_bytes())?;
+        cmd::write(path, burn::page::render(&answer.report, &now)?.as_bytes())?;
     }
-    format.print(&report, burn::report::Report::to_string);
+    format.print(&answer, |answer| {
+        let routes = cmd::gateway::routes_text(&answer.routes);
+        format!("{}{routes}", answer.report)
+    });
     Ok(())
 }
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -2,8 +2,19 @@
 
 use std::net::SocketAddr;
 
+use serde::{Deserialize, Serialize};
+
 use crate::admin::{fleet, status};
 use crate::cmd::{self, output};
+use crate::gateway;
+
+/// What a daemon of either mode answers.
+#[derive(Serialize, Deserialize)]
+#[serde(untagged)]
+enum Answer {
+    Daemon(Box<status::Status>),
+    Gateway(gateway::status::Status),
+}
 
 /// Prints the status of the daemon whose admin port is `admin`, or with `all`
 /// of every daemon of its state.
@@ -17,8 +28,11 @@
         format.print(&answers, fleet_text);
         return Ok(());
     }
-    let status: status::Status = client.json("/admin/status")?;
-    format.print(&status, one_text);
+    let answer: Answer = client.json("/admin/status")?;
+    format.print(&answer, |answer| match answer {
+        Answer::Daemon(status) => one_text(status),
+        Answer::Gateway(status) => cmd::gateway::status_text(status),
+    });
     Ok(())
 }
 
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -22,6 +22,7 @@
 pub mod relay;
 pub mod settings;
 pub mod shared;
+pub mod status;
 pub mod steward;
 pub mod trace;
 
--- a/src/gateway/admin.rs
+++ b/src/gateway/admin.rs
@@ -17,6 +17,7 @@
 use crate::gateway::exchange::explain;
 use crate::gateway::query;
 use crate::gateway::shared::Shared;
+use crate::gateway::status;
 
 /// Answers on the admin port until the process ends.
 pub(crate) async fn accept(shared: Rc<Shared>, listener: TcpListener) {
@@ -117,7 +118,7 @@
 
 fn status_page(shared: &Shared, uri: &http::Uri) -> Result<Page, finding::Findings> {
     query::Query::parse(uri.path(), uri.query(), &[])?;
-    Ok(Page::json(&status(shared)))
+    Ok(Page::json(&status::read(shared)))
 }
 
 fn history_page(shared: &Shared, uri: &http::Uri) -> Result<Page, finding::Findings> {
@@ -138,8 +139,11 @@
 }
 
 fn requests_page(shared: &Shared, uri: &http::Uri) -> Result<Page, finding::Findings> {
-    query::Query::parse(uri.path(), uri.query(), &[])?;
-    Ok(Page::json(&shared.recent.all()))
+    let query = query::Query::parse(uri.path(), uri.query(), &["id"])?;
+    Ok(match query.get("id") {
+        Some(request) => request_page(shared, request),
+        None => Page::json(&shared.recent.all()),
+    })
 }
 
 fn explain_page(shared: &Shared, uri: &http::Uri) -> Result<Page, finding::Findings> {
@@ -205,31 +209,3 @@
         running: shared.running.get(),
     })
 }
-
-fn status(shared: &Shared) -> serde_json::Value {
-    let now = clock::now();
-    let registry = shared.registry.borrow();
-    let targets: Vec<_> = registry
-        .iter()
-        .map(|target| {
-            serde_json::json!({
-                "target": target.name,
-                "service": target.service,
-                "domain": target.domain,
-                "state": format!("{:?}", target.state).to_lowercase(),
-                "cold": target.is_cold(now),
-            })
-        })
-        .collect();
-    let catalog = shared.catalog.borrow();
-    let table = shared.table.borrow();
-    serde_json::json!({
-        "host": shared.settings.host,
-        "ready": shared.is_ready(),
-        "version": catalog.as_ref().map(|catalog| catalog.version()),
-        "taken_out": shared.taken_out.borrow().keys().collect::<Vec<_>>(),
-        "daemons": shared.peers.borrow().live(now),
-        "steward": table.as_ref().map(|(_, table)| table.host.clone()),
-        "targets": targets,
-    })
-}
--- a/src/gateway/burn.rs
+++ b/src/gateway/burn.rs
@@ -89,7 +89,8 @@
     /// Burn rates, each route as a service.
     #[serde(flatten)]
     pub report: report::Report,
-    /// The last minutes.
+    /// The last minutes; empty in the report of the other mode.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub routes: Vec<Route>,
 }
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -99,15 +99,8 @@
     History {
         #[bpaf(external)]
         format: cmd::Format,
-        /// Log service
-        #[bpaf(argument("ADDR"))]
-        log: SocketAddr,
-        /// First offset to list
-        #[bpaf(argument("OFFSET"), fallback(0))]
-        from: u64,
-        /// changes, moves, leases or all
-        #[bpaf(argument("KIND"), fallback(cmd::history::Kind::Changes))]
-        kind: cmd::history::Kind,
+        #[bpaf(external)]
+        source: Source,
     },
     /// Shows progress until a failure domain or target owns nothing
     #[bpaf(command)]
@@ -140,9 +133,32 @@
     },
 }
 
+#[derive(Clone, Debug, Bpaf)]
+enum Source {
+    Log {
+        /// Log service
+        #[bpaf(argument("ADDR"))]
+        log: SocketAddr,
+        /// First offset to list
+        #[bpaf(argument("OFFSET"), fallback(0))]
+        from: u64,
+        /// changes, moves, leases or all
+        #[bpaf(argument("KIND"), fallback(cmd::history::Kind::Changes))]
+        kind: cmd::history::Kind,
+    },
+    Gateway {
+        /// Admin port of a gateway daemon: the last events that it saw
+        #[bpaf(argument("ADDR"))]
+        admin: SocketAddr,
+    },
+}
+
 #[derive(Clone, Debug, Bpaf)]
 enum Question {
     Place {
+        /// Host that a request to a gateway names
+        #[bpaf(argument("HOST"), optional)]
+        host: Option<String>,
         /// Path of a request
         #[bpaf(argument("PATH"))]
         path: String,
@@ -176,13 +192,20 @@
     },
 }
 
-impl From<Question> for cmd::explain::Question {
-    fn from(question: Question) -> Self {
-        match question {
-            Question::Place { path, key, tenant } => Self::Place { path, key, tenant },
+impl TryFrom<Question> for cmd::explain::Question {
+    type Error = cmd::Error;
+
+    fn try_from(question: Question) -> Result<Self, cmd::Error> {
+        Ok(match question {
+            Question::Place {
+                host,
+                path,
+                key,
+                tenant,
+            } => Self::place(host, path, key, tenant)?,
             Question::Request { request } => Self::Request(request),
             Question::Recent => Self::Recent,
-        }
+        })
     }
 }
 
@@ -237,13 +260,13 @@
             format,
             admin,
             question,
-        } => cmd::explain::run(admin, &question.into(), format),
-        Command::History {
-            format,
-            log,
-            from,
-            kind,
-        } => cmd::history::run(log, model::Offset(from), kind, format),
+        } => cmd::explain::run(admin, &question.try_into()?, format),
+        Command::History { format, source } => match source {
+            Source::Log { log, from, kind } => {
+                cmd::history::run(log, model::Offset(from), kind, format)
+            }
+            Source::Gateway { admin } => cmd::history::run_gateway(admin, format),
+        },
         Command::Watch {
             format,
             admin,
