--- a/src/cmd/report.rs
+++ b/src/cmd/report.rs
@@ -14,7 +14,12 @@
 /// # Errors
 /// Fails if the daemon does not answer or the page can't be written.
 pub fn run(admin: SocketAddr, html: Option<&Path>, format: cmd::Format) -> Result<(), cmd::Error> {
-    let answer: gateway::burn::Page = cmd::Admin::new(admin).json("/admin/burn")?;
+    // A gateway's daemon leaves out what only plots need unless it is asked for.
+    let page = match html {
+        Some(_) => "/admin/burn?series=all",
+        None => "/admin/burn",
+    };
+    let answer: gateway::burn::Page = cmd::Admin::new(admin).json(page)?;
     if let Some(path) = html {
         let now = humantime::format_rfc3339_seconds(SystemTime::now()).to_string();
         cmd::write(path, burn::page::render(&answer.report, &now)?.as_bytes())?;
--- a/src/gateway/admin.rs
+++ b/src/gateway/admin.rs
@@ -77,7 +77,7 @@
     }
 
     fn json(value: &impl Serialize) -> Self {
-        match serde_json::to_string_pretty(value) {
+        match serde_json::to_string(value) {
             Ok(text) => Self {
                 status: http::StatusCode::OK,
                 media: Media::Json,
@@ -128,14 +128,20 @@
 }
 
 fn burn_page(shared: &Shared, uri: &http::Uri) -> Result<Page, finding::Findings> {
-    query::Query::parse(uri.path(), uri.query(), &[])?;
+    let query = query::Query::parse(uri.path(), uri.query(), &["series"])?;
     let settings = &shared.settings;
     let slo = settings.service_level.slo_ppm;
-    Ok(Page::json(&shared.burn.page(
-        &settings.host,
-        slo,
-        clock::now(),
-    )))
+    let burn = shared.burn.page(&settings.host, slo, clock::now());
+    match query.get("series") {
+        None => Ok(Page::json(&burn.without_series())),
+        Some("all") => Ok(Page::json(&burn)),
+        Some(other) => {
+            let mut findings = finding::Findings::default();
+            let place = format!("{}, parameter series", uri.path());
+            findings.add(place, "all", format!("{other:?}"));
+            Err(findings)
+        }
+    }
 }
 
 fn requests_page(shared: &Shared, uri: &http::Uri) -> Result<Page, finding::Findings> {
--- a/src/gateway/burn.rs
+++ b/src/gateway/burn.rs
@@ -94,6 +94,18 @@
     pub routes: Vec<Route>,
 }
 
+impl Page {
+    /// Returns the page without the series that only plots need. Writing them
+    /// takes the daemon's one thread milliseconds in which no request is served.
+    pub fn without_series(mut self) -> Self {
+        for service in &mut self.report.services {
+            service.fine.buckets.clear();
+            service.coarse.buckets.clear();
+        }
+        self
+    }
+}
+
 #[derive(Debug)]
 struct Counted {
     service: model::ServiceName,
@@ -151,6 +163,8 @@
 
     /// Returns the burn at `now` for a daemon on `host`, if `slo_ppm` millionths
     /// of the requests must be good.
+    ///
+    /// Its series have up to 1,226 buckets a route; see [`Page::without_series`].
     pub fn page(&self, host: &model::HostName, slo_ppm: u32, now: clock::Millis) -> Page {
         let routes = self.routes.borrow();
         let reply = self.services.reply(host, now);
--- a/src/main.rs
+++ b/src/main.rs
@@ -94,7 +94,7 @@
         #[bpaf(external)]
         question: Question,
     },
-    /// Lists who decided what and when, from the log
+    /// Lists who decided what and when, from the log, or a gateway daemon's last events
     #[bpaf(command)]
     History {
         #[bpaf(external)]
@@ -119,7 +119,7 @@
         #[bpaf(argument("SECONDS"), optional)]
         at_most: Option<u64>,
     },
-    /// Reports service-level burn over all daemons
+    /// Reports service-level burn over all daemons, or of one gateway daemon
     #[bpaf(command)]
     Report {
         #[bpaf(external)]
