--- a/src/gateway/burn.rs
+++ b/src/gateway/burn.rs
@@ -95,8 +95,8 @@
 }
 
 impl Page {
-    /// Returns the page without the series that only plots need. Writing them
-    /// takes the daemon's one thread milliseconds in which no request is served.
+    /// Returns the page without the series that only plots need: while they are
+    /// written, the daemon's one thread serves no request.
     pub fn without_series(mut self) -> Self {
         for service in &mut self.report.services {
             service.fine.buckets.clear();
--- a/src/gateway/history.rs
+++ b/src/gateway/history.rs
@@ -13,8 +13,7 @@
 use crate::gateway::shared::Shared;
 use crate::model;
 
-/// Events that are kept. Busy hours bring a few a minute, so that this covers
-/// more than the time for which the log keeps old records.
+/// Events that are kept. It bounds memory and the length of the page.
 const KEPT: usize = 500;
 
 /// Something that changed what the daemon does.
@@ -69,12 +68,12 @@
     }
 }
 
-/// An event, with its time and place.
+/// An event, with its time and offset.
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Entry {
     /// Unix time at which the daemon learned of it, in milliseconds.
     time: u64,
-    /// Age of the entry is counted from this reading.
+    /// The same time by the clock that is never set.
     at: clock::Millis,
     offset: Option<model::Offset>,
     event: Event,
--- a/src/gateway/recent.rs
+++ b/src/gateway/recent.rs
@@ -7,7 +7,7 @@
 
 use crate::model;
 
-/// Requests that are kept; with a few attempts each they take about 200 KB.
+/// Requests that are kept. It bounds memory and the length of the page.
 const KEPT: usize = 400;
 
 /// Attempts that are kept of one request.
