--- a/src/burn.rs
+++ b/src/burn.rs
@@ -7,6 +7,7 @@
 pub mod page;
 pub mod report;
 
+pub(crate) use crate::tables::count::{Buckets, FINE};
 pub use crate::tables::count::{Counted, Counts, Reply, Series, Table};
 
 /// Two windows that must both burn faster than a threshold.
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -5,20 +5,26 @@
 //! that must last stands in the platform's log. `docs/platform.md` gives the
 //! decisions, their bounds, and what happens when each part fails.
 
+pub mod burn;
 pub mod catalog;
 pub mod choice;
 pub mod client;
 pub mod counters;
 pub mod dialect;
 pub mod exchange;
+pub mod history;
 pub mod keys;
 pub mod peers;
+pub mod query;
 pub mod quota;
+pub mod recent;
 pub mod registry;
 pub mod relay;
 pub mod settings;
 pub mod shared;
+pub mod status;
 pub mod steward;
+pub mod trace;
 
 mod admin;
 mod executor;
--- a/src/gateway/admin.rs
+++ b/src/gateway/admin.rs
@@ -1,6 +1,5 @@
 //! The admin port: readiness, metrics and status.
 
-use std::fmt::Write;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -9,10 +8,16 @@
 use hyper::server::conn::http1;
 use hyper::service;
 use hyper_util::rt::TokioIo;
+use serde::Serialize;
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::clock;
+use crate::finding;
+use crate::gateway::counters;
+use crate::gateway::exchange::explain;
+use crate::gateway::query;
 use crate::gateway::shared::Shared;
+use crate::gateway::status;
 
 /// Answers on the admin port until the process ends.
 pub(crate) async fn accept(shared: Rc<Shared>, listener: TcpListener) {
@@ -28,7 +33,7 @@
 
 async fn serve(shared: Rc<Shared>, stream: TcpStream) {
     let handler = service::service_fn(move |request: http::Request<Incoming>| {
-        let response = answer(&shared, request.uri().path());
+        let response = answer(&shared, request.uri()).into_response();
         async move { Ok::<_, std::convert::Infallible>(response) }
     });
     // A caller that breaks off has no further interest in the answer.
@@ -37,63 +42,176 @@
         .await;
 }
 
-fn answer(shared: &Shared, path: &str) -> http::Response<Full<Bytes>> {
-    let (status, text) = match path {
-        "/live" => (200, "live\n".to_owned()),
-        "/metrics" => (200, metrics(shared)),
-        "/admin/status" => (200, status(shared)),
-        path if path == "/ready" || path == shared.settings.ready_path => ready(shared),
-        _ => (404, "no such page\n".to_owned()),
+/// Media type of a page.
+#[derive(Clone, Copy)]
+enum Media {
+    Text,
+    Json,
+    Metrics,
+}
+
+impl Media {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Text => "text/plain; charset=utf-8",
+            Self::Json => "application/json",
+            Self::Metrics => "application/openmetrics-text; version=1.0.0; charset=utf-8",
+        }
+    }
+}
+
+/// What is answered.
+struct Page {
+    status: http::StatusCode,
+    media: Media,
+    text: String,
+}
+
+impl Page {
+    fn text(status: http::StatusCode, text: impl Into<String>) -> Self {
+        Self {
+            status,
+            media: Media::Text,
+            text: text.into(),
+        }
+    }
+
+    fn json(value: &impl Serialize) -> Self {
+        match serde_json::to_string(value) {
+            Ok(text) => Self {
+                status: http::StatusCode::OK,
+                media: Media::Json,
+                text: text + "\n",
+            },
+            Err(error) => Self::text(
+                http::StatusCode::INTERNAL_SERVER_ERROR,
+                format!("the page can't be written: {error}\n"),
+            ),
+        }
+    }
+
+    fn into_response(self) -> http::Response<Full<Bytes>> {
+        let mut response = http::Response::new(Full::new(self.text.into()));
+        *response.status_mut() = self.status;
+        let media = http::HeaderValue::from_static(self.media.name());
+        response
+            .headers_mut()
+            .insert(http::header::CONTENT_TYPE, media);
+        response
+    }
+}
+
+fn answer(shared: &Shared, uri: &http::Uri) -> Page {
+    let path = uri.path();
+    let page = match path {
+        "/admin/status" => status_page(shared, uri),
+        "/admin/history" => history_page(shared, uri),
+        "/admin/explain" => explain_page(shared, uri),
+        "/admin/requests" => requests_page(shared, uri),
+        "/admin/burn" => burn_page(shared, uri),
+        _ => Ok(plain_page(shared, path)),
     };
-    let mut response = http::Response::new(Full::new(text.into()));
-    if let Ok(status) = http::StatusCode::from_u16(status) {
-        *response.status_mut() = status;
+    page.unwrap_or_else(|findings| {
+        Page::text(http::StatusCode::BAD_REQUEST, format!("{findings}\n"))
+    })
+}
+
+fn status_page(shared: &Shared, uri: &http::Uri) -> Result<Page, finding::Findings> {
+    query::Query::parse(uri.path(), uri.query(), &[])?;
+    Ok(Page::json(&status::read(shared)))
+}
+
+fn history_page(shared: &Shared, uri: &http::Uri) -> Result<Page, finding::Findings> {
+    query::Query::parse(uri.path(), uri.query(), &[])?;
+    let history = shared.history.read(clock::now(), &shared.settings.host);
+    Ok(Page::json(&history))
+}
+
+fn burn_page(shared: &Shared, uri: &http::Uri) -> Result<Page, finding::Findings> {
+    let query = query::Query::parse(uri.path(), uri.query(), &["series"])?;
+    let settings = &shared.settings;
+    let slo = settings.service_level.slo_ppm;
+    let burn = shared.burn.page(&settings.host, slo, clock::now());
+    match query.get("series") {
+        None => Ok(Page::json(&burn.without_series())),
+        Some("all") => Ok(Page::json(&burn)),
+        Some(other) => {
+            let mut findings = finding::Findings::default();
+            let place = format!("{}, parameter series", uri.path());
+            findings.add(place, "all", format!("{other:?}"));
+            Err(findings)
+        }
+    }
+}
+
+fn requests_page(shared: &Shared, uri: &http::Uri) -> Result<Page, finding::Findings> {
+    let query = query::Query::parse(uri.path(), uri.query(), &["id"])?;
+    Ok(match query.get("id") {
+        Some(request) => request_page(shared, request),
+        None => Page::json(&shared.recent.all()),
+    })
+}
+
+fn explain_page(shared: &Shared, uri: &http::Uri) -> Result<Page, finding::Findings> {
+    let names = ["host", "path", "key", "request"];
+    let query = query::Query::parse(uri.path(), uri.query(), &names)?;
+    let [host, path, key, request] = names.map(|name| query.get(name));
+    match (request, host.or(path).or(key)) {
+        (Some(request), None) => Ok(request_page(shared, request)),
+        (Some(_), Some(other)) => {
+            let mut findings = finding::Findings::default();
+            let place = format!("{}, parameter request", uri.path());
+            findings.add(place, "no other parameter beside it", format!("{other:?}"));
+            Err(findings)
+        }
+        (None, _) => {
+            let question = explain::Question::new(uri.path(), host, path, key)?;
+            Ok(Page::json(&explain::explain(shared, &question)))
+        }
+    }
+}
+
+fn request_page(shared: &Shared, request: &str) -> Page {
+    let found = shared.recent.find(request);
+    if !found.is_empty() {
+        return Page::json(&found);
+    }
+    let text = format!(
+        "request {request:?} is not kept by this daemon: it ended well, was sent to another \
+         daemon, or ended too long ago\n"
+    );
+    Page::text(http::StatusCode::NOT_FOUND, text)
+}
+
+fn plain_page(shared: &Shared, path: &str) -> Page {
+    match path {
+        "/live" => Page::text(http::StatusCode::OK, "live\n"),
+        "/metrics" => Page {
+            status: http::StatusCode::OK,
+            media: Media::Metrics,
+            text: metrics(shared),
+        },
+        path if path == "/ready" || path == shared.settings.ready_path => ready(shared),
+        _ => Page::text(http::StatusCode::NOT_FOUND, "no such page\n"),
     }
-    response
 }
 
-fn ready(shared: &Shared) -> (u16, String) {
+fn ready(shared: &Shared) -> Page {
     match shared.is_ready() {
-        true => (200, "ready\n".to_owned()),
-        false => (503, "not ready\n".to_owned()),
+        true => Page::text(http::StatusCode::OK, "ready\n"),
+        false => Page::text(http::StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
     }
 }
 
 fn metrics(shared: &Shared) -> String {
-    let mut text = String::new();
-    for (name, value) in shared.counters.list() {
-        // Writing to a string does not fail.
-        let _ = writeln!(text, "gateway_{name}_total {value}");
-    }
-    let _ = writeln!(text, "gateway_running {}", shared.running.get());
-    text
-}
-
-fn status(shared: &Shared) -> String {
-    let now = clock::now();
-    let registry = shared.registry.borrow();
-    let targets: Vec<_> = registry
-        .iter()
-        .map(|target| {
-            serde_json::json!({
-                "target": target.name,
-                "service": target.service,
-                "domain": target.domain,
-                "state": format!("{:?}", target.state).to_lowercase(),
-                "cold": target.is_cold(now),
-            })
-        })
-        .collect();
     let catalog = shared.catalog.borrow();
     let table = shared.table.borrow();
-    let status = serde_json::json!({
-        "host": shared.settings.host,
-        "ready": shared.is_ready(),
-        "version": catalog.as_ref().map(|catalog| catalog.version()),
-        "taken_out": shared.taken_out.borrow().keys().collect::<Vec<_>>(),
-        "daemons": shared.peers.borrow().live(now),
-        "steward": table.as_ref().map(|(_, table)| table.host.clone()),
-        "targets": targets,
-    });
-    format!("{status:#}\n")
+    shared.counters.render(counters::Standing {
+        version: catalog.as_ref().map_or(0, |catalog| catalog.version()),
+        steward: table
+            .as_ref()
+            .is_some_and(|(_, table)| table.incarnation == shared.incarnation),
+        reader: !shared.is_relayed(),
+        running: shared.running.get(),
+    })
 }
--- a/src/gateway/executor.rs
+++ b/src/gateway/executor.rs
@@ -214,6 +214,8 @@
 fn show(shared: &Shared, offset: model::Offset, table: keys::Table) {
     let mut known = shared.table.borrow_mut();
     if known.as_ref().is_none_or(|(newest, _)| *newest < offset) {
+        let old = known.as_ref().map(|(_, old)| &**old);
+        shared.history.on_table(clock::now(), offset, old, &table);
         *known = Some((offset, Rc::new(table)));
         drop(known);
         shared.moved.notify_waiters();
@@ -266,6 +268,8 @@
             state.on_daemons(shared.peers.borrow().live(now));
             state.on_targets(now, shared.listed_at.get(), members, services);
             let actions = state.poll(now, rank);
+            let silent = state.silent_owners();
+            shared.history.set_silent(now, state.offset(), silent);
             drop(state);
             for action in actions {
                 let (shared, machine) = (Rc::clone(&shared), Rc::clone(&machine));
@@ -362,7 +366,8 @@
             call, owner, grant, ..
         } => {
             let request = shared.dialect.grant(&owner.target, &grant);
-            order(&shared, &machine, call, &owner, request, GRANT).await;
+            let kind = counters::OrderKind::Grant;
+            order(&shared, &machine, call, &owner, request, kind).await;
         }
         steward::Action::Release {
             call,
@@ -371,7 +376,8 @@
             ..
         } => {
             let request = shared.dialect.release(&owner.target, release);
-            order(&shared, &machine, call, &owner, request, RELEASE).await;
+            let kind = counters::OrderKind::Release;
+            order(&shared, &machine, call, &owner, request, kind).await;
         }
     }
     publish(&shared, &machine);
@@ -384,8 +390,9 @@
 
 async fn append(shared: &Shared, machine: &Steward, table: &[u8], end: model::Offset) {
     let request = shared.dialect.append(Topic::Table, KEY, table, Some(end));
-    let answer = feed::call(shared, request, APPEND).await;
+    let answer = feed::call(shared, Topic::Table, request, APPEND).await;
     let appended = answer.ok().map(|answer| shared.dialect.appended(&answer));
+    appended.inspect(|appended| shared.counters.on_call(Topic::Table, *appended));
     log::info!("key table appended at {end}: {appended:?}");
     machine.borrow_mut().on_appended(clock::now(), appended);
 }
@@ -397,7 +404,7 @@
     call: u64,
     owner: &keys::Owner,
     mut request: http::Request<bytes::Bytes>,
-    limit: u64,
+    kind: counters::OrderKind,
 ) {
     let Some(address) = address(shared, owner) else {
         return machine
@@ -418,6 +425,10 @@
         birth: owner.birth,
     };
     let answer = shared.client.call(peer, request, CONNECT);
+    let limit = match kind {
+        counters::OrderKind::Grant => GRANT,
+        counters::OrderKind::Release => RELEASE,
+    };
     let answer = tokio::time::timeout(Duration::from_millis(limit), answer).await;
     let reply = match answer {
         Ok(Ok(answer)) => match shared.dialect.ordered(&answer) {
@@ -432,6 +443,7 @@
         _ => steward::Reply::Silent,
     };
     log::debug!("order {call} to target {}: {reply:?}", owner.target);
+    shared.counters.on_order(kind, &reply);
     machine.borrow_mut().on_ordered(clock::now(), call, reply);
 }
 
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -10,14 +10,17 @@
 use tokio::sync::Notify;
 
 use crate::clock;
+use crate::gateway::burn;
 use crate::gateway::catalog;
 use crate::gateway::choice;
 use crate::gateway::client;
 use crate::gateway::counters;
 use crate::gateway::dialect;
+use crate::gateway::history;
 use crate::gateway::keys;
 use crate::gateway::peers;
 use crate::gateway::quota;
+use crate::gateway::recent;
 use crate::gateway::registry;
 use crate::gateway::relay;
 use crate::gateway::settings;
@@ -85,6 +88,12 @@
     pub running: Cell<usize>,
     /// Bytes of bodies that are held.
     pub held: Cell<usize>,
+    /// Last events, for operators.
+    pub history: history::Ring,
+    /// Last requests that did not end well, for operators.
+    pub recent: Rc<recent::Ring>,
+    /// Service-level burn of routes, for operators.
+    pub(crate) burn: Rc<burn::Table>,
     /// Counters for operators.
     pub counters: counters::Counters,
 }
@@ -96,13 +105,14 @@
         dialect: Rc<dyn dialect::Dialect>,
         socket: UdpSocket,
     ) -> Self {
+        let counters = counters::Counters::default();
         Self {
             region: settings.region(&settings.domain).cloned(),
             peers: RefCell::new(peers::Directory::new(settings.host.clone())),
             settings,
             incarnation: model::Incarnation(rand::random()),
             dialect,
-            client: client::Client::new(),
+            client: client::Client::with_counter(counters.connections.clone()),
             catalog: RefCell::default(),
             taken_out: RefCell::default(),
             registry: RefCell::default(),
@@ -127,7 +137,10 @@
             connections: Cell::default(),
             running: Cell::default(),
             held: Cell::default(),
-            counters: counters::Counters::default(),
+            history: history::Ring::new(clock::now()),
+            recent: Rc::default(),
+            burn: Rc::new(burn::Table::new(clock::now())),
+            counters,
         }
     }
 
