Prefer targets with an idle connection

Ruled out: a longer idle time; targets close connections after 10 s, and 2 s are left so that a request does not cross the close.

Change: a target to which no idle connection exists counts as slower by `policy.connect_cost` (40 ms by default).

--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -83,7 +83,7 @@
     pub life: Life,
     /// Requests that it serves at a time.
     pub slots: u32,
-    /// Cost of its distance, in milliseconds.
+    /// Cost of its distance and of a new connection, in milliseconds.
     pub distance: f64,
 }
 
--- a/src/gateway/client.rs
+++ b/src/gateway/client.rs
@@ -241,6 +241,17 @@
         });
     }
 
+    /// Returns whether an idle connection to a peer can be used.
+    pub fn has_idle(&self, peer: Peer) -> bool {
+        let now = clock::now();
+        let idle = self.idle.borrow();
+        let idle = idle.get(&peer);
+        idle.is_some_and(|idle| {
+            let mut usable = idle.iter().filter(|connection| connection.until > now);
+            usable.any(|connection| connection.sender.is_ready())
+        })
+    }
+
     fn take(&self, peer: Peer) -> Option<Connection> {
         let now = clock::now();
         let mut idle = self.idle.borrow_mut();
--- a/src/gateway/exchange/choose.rs
+++ b/src/gateway/exchange/choose.rs
@@ -41,7 +41,7 @@
             candidates.push(choice::Candidate {
                 life,
                 slots: target.slots,
-                distance: shared.distance(&target.domain),
+                distance: shared.cost(target),
             });
         }
     }
--- a/src/gateway/exchange/explain.rs
+++ b/src/gateway/exchange/explain.rs
@@ -300,7 +300,7 @@
         let candidate = choice::Candidate {
             life: life_of(target),
             slots: target.slots,
-            distance: shared.distance(&target.domain),
+            distance: shared.cost(target),
         };
         let unfit = unfit(shared, target, &candidate.life, ask, now);
         let busy = busy(&table, &candidate, now);
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -116,7 +116,8 @@
     }
 }
 
-/// Choice of targets: what distance costs, as if the target took longer.
+/// Choice of targets: what distance and a new connection cost, as if the target
+/// took longer.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Policy {
@@ -124,6 +125,8 @@
     pub domain_cost: Time,
     /// Cost of a target in another region.
     pub region_cost: Time,
+    /// Cost of a target to which no idle connection exists.
+    pub connect_cost: Time,
 }
 
 impl Default for Policy {
@@ -131,6 +134,7 @@
         Self {
             domain_cost: Time(20),
             region_cost: Time(150),
+            connect_cost: Time(40),
         }
     }
 }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -172,6 +172,20 @@
             .collect()
     }
 
+    /// Returns what a request to a target costs besides its time there, in
+    /// milliseconds: its distance, and a new connection if there is none.
+    pub fn cost(&self, target: &registry::Target) -> f64 {
+        let peer = client::Peer {
+            address: target.address,
+            birth: target.birth,
+        };
+        let connect = match self.client.has_idle(peer) {
+            true => 0.0,
+            false => self.settings.policy.connect_cost.0 as f64,
+        };
+        self.distance(&target.domain) + connect
+    }
+
     /// Returns what the distance to a failure domain costs, in milliseconds.
     pub fn distance(&self, domain: &model::DomainName) -> f64 {
         let policy = &self.settings.policy;
--- a/tests/gateway_client.rs
+++ b/tests/gateway_client.rs
@@ -154,6 +154,24 @@
     });
 }
 
+/// Guards against a new connection that is thought to exist, or an idle one that is not.
+#[test]
+fn has_idle_after_answer() {
+    run(async {
+        let (client, address) = (Client::new(), numbered(""));
+        assert!(!client.has_idle(peer(address)));
+        ask(&client, address, "/").await.expect("an answer");
+        assert!(client.has_idle(peer(address)));
+        let later = Peer {
+            birth: 2,
+            ..peer(address)
+        };
+        assert!(!client.has_idle(later), "another life at the address");
+        client.forget(peer(address));
+        assert!(!client.has_idle(peer(address)));
+    });
+}
+
 /// Guards against connections that are opened for every request.
 #[test]
 fn call_used_again() {
