Repeat the reader's sign after entries that changed

Change: the progress message is repeated 150 and 450 ms after entries that changed, as after operators' records.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -385,6 +385,8 @@
     if next == from || shared.stopping.get() || shared.is_relayed() {
         return;
     }
+    // Entries that only say that a target lives are left out, and hosts may come late.
+    let urgent = topic != Topic::Hosts && !records.is_empty();
     match messages(topic, from, next, end, records) {
         Some(messages) => messages
             .iter()
@@ -392,7 +394,7 @@
         // A record is too long for a datagram: the others ask for it.
         None => send_progress(shared),
     }
-    if topic != Topic::Targets && topic != Topic::Hosts {
+    if urgent {
         repeat_progress(shared);
     }
 }
