Never use the answer of an attempt that was aborted for the other one

Cause: of two attempts at a request of a shared service, an answer of the second aborts the first by shutting its connection down. If the head of the first arrived between that decision and the end of its thread's wait, end_first returned None and the first answer was used: the caller got its head and a body cut wherever the shutdown came, or no byte if the head was still buffered. The race is wider for large answers, whose bodies are read after the head.

Found beside it: reading the last byte of a body kept the abort tied to the connection, although the last piece lets the server cancel the request's token. A connection on its way back to the pool could be shut, also between the pool's check and the next request's first byte (not run, but an upload isn't retried). The tie now ends with the last byte of a stated length.

Changed: end_first returns the second attempt's answer if that came first, and the caller gets it. An answer that ends early counts as outcome cut, with the reason target_ended, holder_ended, right_lost, caller_left or deadline, in metrics, log and kept requests; requests with streamed answers are counted at the end of the body, the latency still to the head. The server's own line about a cut is now at debug, since daemons write one with request and reason. An upload ended by the guard has the reason right_lost. measure prints lost_answers for each load; the group whole runs by its name alone.

Safety: the choice between two answers of one idempotent request changes nothing in what may run. RIGHT checks stay where they were.

--- a/measure/src/group.rs
+++ b/measure/src/group.rs
@@ -7,6 +7,7 @@
 mod loss;
 mod memory;
 mod overload;
+mod whole;
 mod zipf;
 
 use crate::fleet;
@@ -30,10 +31,12 @@
     Zipf,
     /// Bytes between regions.
     Link,
+    /// Large answers and uploads that end whole.
+    Whole,
 }
 
 impl Group {
-    /// All groups, in the order in which they run.
+    /// The groups that `all` runs, in their order; `Whole` takes minutes and runs alone.
     pub const ALL: [Self; 8] = [
         Self::Forward,
         Self::Memory,
@@ -59,6 +62,7 @@
             Self::Domain => domain::run(),
             Self::Zipf => zipf::run(),
             Self::Link => link::run(),
+            Self::Whole => whole::run(),
         }
     }
 }
--- a/measure/src/group/forward.rs
+++ b/measure/src/group/forward.rs
@@ -146,7 +146,7 @@
     }
 }
 
-fn plan(daemons: Vec<&'static str>) -> Plan {
+pub(super) fn plan(daemons: Vec<&'static str>) -> Plan {
     let mut plan = Plan {
         domains: vec![("a", "r"), ("b", "r")],
         daemons,
--- a/measure/src/load.rs
+++ b/measure/src/load.rs
@@ -12,6 +12,7 @@
 use hdrhistogram::Histogram;
 
 use crate::caller::{Answer, Call, Caller};
+use crate::report;
 
 /// Longest latency that is told from longer ones, in microseconds.
 const LONGEST: u64 = 60_000_000;
@@ -95,6 +96,11 @@
         failures
     }
 
+    /// Returns the number of requests whose answer was cut off or did not come.
+    pub fn lost(&self) -> u64 {
+        self.ends.iter().filter(|end| end.status == 0).count() as u64
+    }
+
     /// Returns a quantile of the latency of the requests answered, in milliseconds.
     pub fn latency(&self, quantile: f64) -> f64 {
         let mut histogram = Histogram::<u64>::new_with_max(LONGEST, 3).expect("bounds are valid");
@@ -105,7 +111,7 @@
         histogram.value_at_quantile(quantile) as f64 / 1e3
     }
 
-    /// Prints the counts on standard error.
+    /// Prints the counts on standard error, and the lost answers as a measure.
     pub fn log(&self, what: &str) {
         let (ok, all) = (self.ok(), self.ends.len());
         let quantiles = [0.5, 0.99, 0.999].map(|quantile| self.latency(quantile));
@@ -115,6 +121,8 @@
             self.seconds,
             self.failures()
         );
+        let case = what.replace(", ", "_").replace(' ', "_");
+        report::against("lost_answers", &case, self.lost() as f64, "answers", 0.0);
     }
 }
 
--- a/measure/src/main.rs
+++ b/measure/src/main.rs
@@ -27,7 +27,7 @@
 #[bpaf(options)]
 /// Measures pistachiomoor; prints one JSON line a measure
 enum Command {
-    /// Runs all groups, one after the other
+    /// Runs all groups but `whole`, one after the other
     #[bpaf(command)]
     All,
     /// Requests/s, processor time and latency of a daemon and of a bare forwarder
@@ -54,6 +54,9 @@
     /// Bytes between regions by purpose
     #[bpaf(command)]
     Link,
+    /// Answers and uploads of 1 MB that are lost or refused
+    #[bpaf(command)]
+    Whole,
     /// Forwards every request to one address without decisions; the baseline of `forward`
     #[bpaf(command)]
     Forwarder {
@@ -78,6 +81,7 @@
             Self::Domain => vec![Group::Domain],
             Self::Zipf => vec![Group::Zipf],
             Self::Link => vec![Group::Link],
+            Self::Whole => vec![Group::Whole],
             Self::Forwarder { .. } => Vec::new(),
         }
     }
--- a/src/admin/requests.rs
+++ b/src/admin/requests.rs
@@ -26,9 +26,9 @@
     pub target: model::TargetName,
     /// Shard, if the service is keyed.
     pub shard: Option<model::Shard>,
-    /// `ok`, `not_run` or `unknown`.
+    /// `ok`, `cut`, `not_run` or `unknown`.
     pub outcome: Cow<'static, str>,
-    /// Reason of a refusal, or empty.
+    /// Reason of a refusal or of the cut, or empty.
     pub reason: Cow<'static, str>,
     /// Time from the request's start to the attempt's, in microseconds.
     pub start_us: u64,
@@ -52,6 +52,15 @@
         }
     }
 
+    /// Changes the outcome of the last attempt, if it is kept.
+    pub fn amend(&mut self, outcome: &'static str, reason: &'static str) {
+        if self.count == self.attempts.len()
+            && let Some(last) = self.attempts.last_mut()
+        {
+            (last.outcome, last.reason) = (outcome.into(), reason.into());
+        }
+    }
+
     /// Returns how many attempts were made.
     pub fn count(&self) -> usize {
         self.count
@@ -67,9 +76,9 @@
     pub service: String,
     /// Method.
     pub method: String,
-    /// `ok`, `not_run` or `unknown`.
+    /// `ok`, `cut`, `not_run` or `unknown`.
     pub outcome: String,
-    /// Reason of a refusal, or empty.
+    /// Reason of a refusal or of the cut, or empty.
     pub reason: String,
     /// What was found instead, in words, or empty.
     pub detail: String,
@@ -94,7 +103,7 @@
 
 impl Ring {
     /// Counts a request that has ended, and returns whether it should be
-    /// kept; `special` says that it was slow, retried or refused.
+    /// kept; `special` says that it was slow, retried, refused or cut off.
     pub fn wants(&self, special: bool) -> bool {
         let number = self.number.fetch_add(1, Ordering::Relaxed);
         special || number.is_multiple_of(SAMPLE)
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod balancer;
 mod cover;
+pub mod delivery;
 mod detour;
 mod entry;
 mod handover;
--- a/src/daemon/attempt.rs
+++ b/src/daemon/attempt.rs
@@ -7,6 +7,7 @@
 
 use crate::admin::requests;
 use crate::clock;
+use crate::daemon::delivery;
 use crate::daemon::detour;
 use crate::daemon::header;
 use crate::daemon::hold;
@@ -244,7 +245,11 @@
         let length = inbound.body.length();
         let body = match small {
             Some(data) => server::Body::Whole(data),
-            None => server::Body::Stream(Box::new(inbound.body), length),
+            None => {
+                let (reader, deadline) = (inbound.body, call.deadline);
+                let relayed = delivery::Relayed { reader, deadline };
+                server::Body::Stream(Box::new(relayed), length)
+            }
         };
         let mut response = server::Response::new(inbound.status, body);
         response.headers = inbound.headers;
@@ -278,7 +283,7 @@
     result: &Result<server::Response, server::Refusal>,
     start: Instant,
 ) -> requests::Attempt {
-    let (outcome, reason) = recall::outcome(result);
+    let (outcome, reason) = recall::End::from(result).names();
     requests::Attempt {
         target: aim.target.clone(),
         shard: aim.shard,
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -12,7 +12,6 @@
 use crate::daemon::retry;
 use crate::daemon::shared::{Shared, View};
 use crate::forward;
-use crate::metrics;
 use crate::model;
 use crate::route;
 use crate::server;
@@ -48,9 +47,15 @@
         let request = Arc::new(request);
         let arrived = (start, &request, &id);
         let result = self.route_call(arrived, &mut body, &mut service, &trace);
-        self.report(&request, &id, service.as_ref(), &result, start);
-        self.remember(&request, &id, service.as_ref(), &result, (start, trace));
-        let mut response = result.unwrap_or_else(server::Response::from);
+        let account = recall::Account {
+            shared: self.clone(),
+            request: request.clone(),
+            id: id.clone(),
+            service,
+            elapsed: start.elapsed(),
+            trace: trace.into_inner(),
+        };
+        let mut response = account.close_with(result);
         response
             .headers
             .insert(header::REQUEST_ID, header::value(&id));
@@ -175,38 +180,6 @@
         }
         ended.result
     }
-
-    fn report(
-        &self,
-        request: &server::Request,
-        id: &str,
-        service: Option<&Arc<state::Service>>,
-        result: &Result<server::Response, server::Refusal>,
-        start: Instant,
-    ) {
-        let elapsed = start.elapsed();
-        let (outcome, reason) = recall::outcome(result);
-        let name = service.map_or("", |service| service.name.as_str());
-        let labels = metrics::Outcome {
-            service: name.to_owned(),
-            outcome,
-            reason,
-        };
-        self.metrics.requests.get_or_create(&labels).inc();
-        let service = metrics::Service {
-            service: labels.service,
-        };
-        let latency = self.metrics.latency.get_or_create(&service);
-        latency.observe(elapsed.as_secs_f64());
-        if self.settings.logs.requests || (result.is_err() && log::log_enabled!(log::Level::Debug))
-        {
-            log::info!(
-                request_id = id, service = name, outcome = outcome, reason = reason,
-                micros = elapsed.as_micros() as u64, method = request.method.as_str();
-                "request ended"
-            );
-        }
-    }
 }
 
 fn situate(
--- a/src/daemon/hedge.rs
+++ b/src/daemon/hedge.rs
@@ -203,15 +203,16 @@
     server::Refusal::unknown(server::Reason::Deadline, detail)
 }
 
-/// Puts the attempt first that the caller is told of: an answer, else an
-/// unknown outcome, since the request has not run only if neither attempt has.
+/// Puts the attempt first that the caller is told of: the second one's answer,
+/// which has aborted the first attempt, else an unknown outcome, since the
+/// request has not run only if neither attempt has.
 fn rank(first: attempt::Ended, second: attempt::Ended) -> (attempt::Ended, Option<attempt::Ended>) {
     let weight = |ended: &attempt::Ended| match ended.result.as_ref().map_err(|e| e.outcome) {
         Ok(_) => 2,
         Err(forward::Outcome::Unknown) => 1,
         Err(forward::Outcome::NotRun) => 0,
     };
-    match weight(&second) > weight(&first) {
+    match second.result.is_ok() || weight(&second) > weight(&first) {
         true => (second, Some(first)),
         false => (first, Some(second)),
     }
--- a/src/daemon/hold.rs
+++ b/src/daemon/hold.rs
@@ -8,6 +8,7 @@
 use http::{HeaderName, HeaderValue};
 
 use crate::clock;
+use crate::daemon::delivery;
 use crate::daemon::header;
 use crate::daemon::keeper;
 use crate::daemon::shared::Shared;
@@ -85,11 +86,24 @@
 
 /// Body of a target's response; frees the target's slot when it has ended.
 struct HeldReply {
+    shared: Arc<Shared>,
     reply: forward::Reply,
     held: Option<Held>,
     outcome: admission::Outcome,
 }
 
+impl HeldReply {
+    fn cut(&self, held: &Held, error: &io::Error) -> delivery::Cut {
+        let target = &held.keeper.target;
+        log::debug!("reading the answer of {target} failed: {error}");
+        let left = held.deadline.since(clock::now());
+        delivery::Cut::classify(error, left, || match self.shared.may_act(target) {
+            Ok(_) => delivery::Cut::TargetEnded,
+            Err(_) => delivery::Cut::RightLost,
+        })
+    }
+}
+
 impl Drop for HeldReply {
     fn drop(&mut self) {
         if let Some(held) = self.held.take() {
@@ -109,10 +123,12 @@
             }
             Ok(count) => Ok(count),
             Err(error) => {
-                if let Some(held) = self.held.take() {
-                    held.give_up();
-                }
-                Err(error)
+                let Some(held) = self.held.take() else {
+                    return Err(error);
+                };
+                let cut = self.cut(&held, &error);
+                held.give_up();
+                Err(cut.into())
             }
         }
     }
@@ -273,7 +289,7 @@
     }
 
     fn receive(
-        &self,
+        self: &Arc<Self>,
         order: &Order<'_>,
         key: Option<model::KeyHash>,
         mut inbound: forward::Inbound,
@@ -312,6 +328,7 @@
             Ok(None) => {
                 let length = inbound.body.length();
                 let reply = HeldReply {
+                    shared: self.clone(),
                     reply: inbound.body,
                     held: Some(held),
                     outcome,
@@ -397,6 +414,7 @@
             let reason = match failure.cause {
                 forward::Cause::Timeout => server::Reason::Deadline,
                 forward::Cause::Cancelled => server::Reason::Cancelled,
+                forward::Cause::GuardRefused => server::Reason::RightLost,
                 _ => server::Reason::ConnectionLost,
             };
             server::Refusal::unknown(reason, detail)
--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -6,6 +6,7 @@
 
 use crate::admin;
 use crate::clock;
+use crate::daemon::delivery;
 use crate::daemon::header;
 use crate::daemon::hold;
 use crate::daemon::shared::Shared;
@@ -119,10 +120,30 @@
             headers: &request.headers,
             token: &request.token,
         };
-        self.execute(&order, content)
+        let response = self.execute(&order, content)?;
+        let (id, target) = (order.id.to_owned(), route.target.clone());
+        let ended = move |result, bytes| note_end(&id, &target, result, bytes);
+        Ok(delivery::follow(response, &request.token, ended))
     }
 }
 
+/// Writes a line if a forwarded request's answer was cut off. Another daemon
+/// that leaves is one whose caller left, or that took another attempt's answer.
+fn note_end(id: &str, target: &model::TargetName, result: Result<(), delivery::Cut>, bytes: u64) {
+    let Err(cut) = result else {
+        return;
+    };
+    let level = match cut {
+        delivery::Cut::CallerLeft => log::Level::Debug,
+        _ => log::Level::Warn,
+    };
+    log::log!(
+        level, request_id = id, target_name = target.as_str(), reason = cut.as_str(),
+        bytes = bytes;
+        "the answer of {target} was cut off: {cut}"
+    );
+}
+
 /// Route of a forwarded request, from its headers.
 struct Forwarded {
     target: model::TargetName,
--- a/src/daemon/race.rs
+++ b/src/daemon/race.rs
@@ -14,8 +14,8 @@
     Idle,
     /// It runs.
     Running,
-    /// It has ended.
-    Ended(T),
+    /// It has ended, and whether with an answer.
+    Ended(T, bool),
 }
 
 struct Inner<T> {
@@ -31,7 +31,8 @@
     None,
     /// It was started and has not ended in time.
     Unfinished,
-    /// It has ended.
+    /// It has ended. If it answered, its answer counts, whatever became of
+    /// the first attempt.
     Ended(T),
 }
 
@@ -39,7 +40,8 @@
 ///
 /// The thread of the first attempt decides: it calls [`Race::end_first`] when
 /// its attempt has returned. An answer of the second attempt aborts the first,
-/// and the other way round.
+/// and the other way round. The first whole head under the lock wins: a streamed
+/// answer of an aborted attempt would be cut off.
 pub struct Race<T> {
     inner: Mutex<Inner<T>>,
     ended: Condvar,
@@ -85,7 +87,7 @@
             drop(inner);
             return;
         }
-        inner.second = Second::Ended(result);
+        inner.second = Second::Ended(result, answered);
         drop(inner);
         self.ended.notify_all();
         if answered {
@@ -93,8 +95,11 @@
         }
     }
 
-    /// Ends the first attempt. If it `answered`, the second is aborted.
-    /// Otherwise waits for the second, until `end` at the latest.
+    /// Ends the first attempt. If it `answered`, a second one that runs is
+    /// aborted. Otherwise waits for the second, until `end` at the latest.
+    ///
+    /// The first attempt's answer must not be used if the second has answered
+    /// before, since the first is then aborted.
     pub fn end_first(&self, answered: bool, end: Instant) -> Other<T> {
         let mut inner = self.inner.lock();
         while !answered && matches!(inner.second, Second::Running) {
@@ -113,7 +118,7 @@
                     false => Other::Unfinished,
                 }
             }
-            Second::Ended(result) if !answered => Other::Ended(result),
+            Second::Ended(result, won) if won || !answered => Other::Ended(result),
             _ => Other::None,
         }
     }
--- a/src/forward/inbound.rs
+++ b/src/forward/inbound.rs
@@ -116,8 +116,12 @@
             }
         };
         self.seen += count as u64;
-        if count == 0 {
+        if count == 0 || self.length == Some(self.seen) {
+            // The last bytes let the caller's token be cancelled, which must
+            // not close a connection that goes back to the pool.
             self.claim = None;
+        }
+        if count == 0 {
             self.reader = None;
             if self.length.is_some_and(|length| self.seen != length) {
                 self.framed = false;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -19,9 +19,9 @@
 pub struct Outcome {
     /// Name of the service, or empty if none was found.
     pub service: String,
-    /// `ok`, `not_run` or `unknown`.
+    /// `ok`, `cut`, `not_run` or `unknown`.
     pub outcome: &'static str,
-    /// Reason of a refusal, or empty.
+    /// Reason of a refusal or of the cut, or empty.
     pub reason: &'static str,
 }
 
--- a/src/server/worker.rs
+++ b/src/server/worker.rs
@@ -187,7 +187,7 @@
             Ok(count) => count,
             Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
             Err(error) => {
-                log::info!("a response was cut off: {error}");
+                log::debug!("a response was cut off: {error}");
                 return;
             }
         };
--- a/tests/daemon_race.rs
+++ b/tests/daemon_race.rs
@@ -69,6 +69,23 @@
     });
 }
 
+/// Guards against an answer that was aborted for the second attempt's and is
+/// used all the same, so that its caller gets a cut body.
+#[test]
+fn end_first_answered_after_second_loses() {
+    let (race, aborts) = race();
+    assert!(race.start_second());
+    race.end_second("answer", true);
+    assert_eq!(race.end_first(true, late()), Other::Ended("answer"));
+    assert_eq!(fired(&aborts), [true, false]);
+
+    let (race, aborts) = self::race();
+    assert!(race.start_second());
+    race.end_second("refused", false);
+    assert_eq!(race.end_first(true, late()), Other::None);
+    assert_eq!(fired(&aborts), [false, false]);
+}
+
 /// Guards against "not run" for a request whose second attempt still runs.
 #[test]
 fn end_first_tells_unfinished_second() {
--- a/tests/forward_abort.rs
+++ b/tests/forward_abort.rs
@@ -123,6 +123,31 @@
     peer.join().unwrap();
 }
 
+/// Guards against a connection that is closed on its way back to the pool: the
+/// last bytes of a body end the request they belong to, and so cancel its token.
+#[test]
+fn send_abort_after_last_byte_keeps_connection() {
+    let (listener, addr) = listen();
+    let peer = thread::spawn(move || {
+        let (stream, _) = listener.accept().unwrap();
+        drop(listener);
+        for _ in 0..2 {
+            read_head(&stream);
+            answer(&stream);
+        }
+    });
+    let client = Client::new(Options::default());
+    let abort = Abort::new();
+    let mut first = send(&client, addr, &abort, || true).unwrap();
+    first.body.read_exact(&mut [0; 2]).unwrap();
+    abort.fire();
+    assert_eq!(first.body.read(&mut [0]).unwrap(), 0);
+    let mut second = send(&client, addr, &Abort::new(), || true).unwrap();
+    assert_eq!(second.body.read_small(2).unwrap().unwrap(), "ok");
+    drop(client);
+    peer.join().unwrap();
+}
+
 /// Guards against a body that an abort cut off and that is taken for a whole one.
 #[test]
 fn send_aborted_in_body_is_cut() {
