--- a/src/admin/guard.rs
+++ b/src/admin/guard.rs
@@ -10,9 +10,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::admin::fleet;
 use crate::model;
-use crate::peer;
+use crate::peer::{self, fleet};
 use crate::state;
 
 /// An object whose last change every up daemon must have read.
@@ -87,8 +86,8 @@
     needed: &Guarded,
     answers: &fleet::Answers<peer::OffsetReply>,
 ) -> Vec<String> {
-    let up = state.hosts.iter().filter(|(_, host)| host.gone.is_none());
-    up.filter_map(|(id, host)| lacks(*id, host, needed, answers))
+    let up = state.up_hosts();
+    up.filter_map(|(id, host)| lacks(id, host, needed, answers))
         .collect()
 }
 
--- a/src/daemon/recall.rs
+++ b/src/daemon/accounting.rs
@@ -3,16 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::admin::requests;
 use crate::clock;
 use crate::daemon::delivery;
-use crate::daemon::shared::Shared;
 use crate::metrics;
 use crate::server;
 use crate::state;
+use crate::tables::{self, requests};
 
 /// Result of a caller's request or of one attempt.
-type Answered = Result<server::Response, server::Refusal>;
+pub(super) type Answered = Result<server::Response, server::Refusal>;
 
 /// How a request ended.
 #[derive(Clone, Copy)]
@@ -68,7 +67,7 @@
 
 /// A caller's request from its response's head to the end of the body.
 pub(super) struct Account {
-    pub(super) shared: Arc<Shared>,
+    pub(super) shared: Arc<tables::Shared>,
     pub(super) request: Arc<server::Request>,
     pub(super) id: Arc<str>,
     pub(super) service: Option<Arc<state::Service>>,
@@ -98,7 +97,7 @@
     fn close(self, end: End<'_>) {
         self.count(end);
         self.log(end);
-        self.remember(end);
+        self.record(end);
     }
 
     fn name(&self) -> &str {
@@ -155,7 +154,7 @@
         }
     }
 
-    fn remember(self, end: End<'_>) {
+    fn record(self, end: End<'_>) {
         let slow = self.is_slow();
         let special = slow || !matches!(end, End::Answered) || self.trace.count() > 1;
         if !self.shared.recent.wants(special) {
--- a/src/daemon/housekeeper.rs
+++ b/src/daemon/housekeeper.rs
@@ -7,10 +7,10 @@
 
 use crate::clock;
 use crate::daemon::membership;
-use crate::daemon::shared::Shared;
 use crate::model;
 use crate::placement;
 use crate::state;
+use crate::tables;
 
 /// Pause between two rounds.
 const ROUND: Duration = Duration::from_millis(100);
@@ -38,18 +38,18 @@
     missing: Option<clock::Millis>,
 }
 
-impl Shared {
+impl tables::Shared {
     /// Proposes what the state lacks until the token is cancelled.
     pub fn run_housekeeper(self: &Arc<Self>) {
         let mut memory = Memory::default();
         while !self.token.wait_timeout(ROUND) {
             if self.journal.is_usable() && !self.leaving.load(Ordering::Relaxed) {
-                self.keep_house(&mut memory);
+                self.run_round(&mut memory);
             }
         }
     }
 
-    fn keep_house(self: &Arc<Self>, memory: &mut Memory) {
+    fn run_round(self: &Arc<Self>, memory: &mut Memory) {
         let state = self.journal.state();
         let known = state.hosts.get(&self.me);
         if known.is_none_or(|host| host.silent.is_some()) {
@@ -145,21 +145,7 @@
             return;
         }
         log::info!("naming a new backup for {} leases", proposals.len());
-        let bodies = proposals
-            .iter()
-            .map(|(proposal, backup)| state::Body::Lease {
-                target: proposal.target.clone(),
-                prior: Some(proposal.prior),
-                holder: self.me,
-                backup: *backup,
-                span: proposal.span,
-            });
-        let decisions = self
-            .journal
-            .propose_all(bodies.collect(), state.next, DECISION);
-        for ((proposal, _), decision) in proposals.iter().zip(decisions) {
-            self.settle(proposal, &decision);
-        }
+        self.propose_leases(proposals, state.next, DECISION);
     }
 
     fn balance_leases(&self, state: &state::State) {
@@ -264,10 +250,7 @@
             let Some((target, lease)) = mine else {
                 return true;
             };
-            let successor = lease.backup.filter(|id| {
-                let host = state.hosts.get(id);
-                host.is_some_and(|host| host.gone.is_none())
-            });
+            let successor = lease.backup.filter(|id| state.is_up(*id));
             let Some(holder) = successor.or_else(|| membership::backup_for(&state, self.me, &[]))
             else {
                 return true;
--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -6,16 +6,17 @@
 
 use crate::admin;
 use crate::clock;
+use crate::daemon::attempt;
 use crate::daemon::delivery;
 use crate::daemon::header;
 use crate::daemon::hold;
-use crate::daemon::shared::Shared;
 use crate::forward;
 use crate::journal;
 use crate::model;
-use crate::peer;
+use crate::peer::{self, call};
 use crate::server;
 use crate::state;
+use crate::tables;
 use crate::target::wire;
 
 /// Longest time for one call to another daemon.
@@ -30,7 +31,7 @@
 /// Largest reply of another daemon, in bytes.
 const REPLY_BYTES: u64 = 256 << 20;
 
-impl Shared {
+impl tables::Shared {
     /// Answers a request on the port for other daemons.
     pub fn serve_peer(self: &Arc<Self>, mut request: server::Request) -> server::Response {
         if request.headers.contains_key(header::ROUTE_TARGET) {
@@ -40,13 +41,16 @@
         match request.path() {
             "/peer/state" => self.state_reply(),
             "/peer/records" => self.records_reply(request.query()),
-            "/peer/offset" => encoded(&peer::OffsetReply {
+            "/peer/offset" => encoded(peer::encode(&peer::OffsetReply {
                 from: self.me,
                 next: self.running.oldest(self.journal.state().next),
-            }),
+            })),
             "/peer/lease" => self.receive_lease(&request),
             "/peer/backup" => self.receive_resignation(&request),
-            _ => admin::serve_peer(self, &request),
+            _ => match admin::answer_peer(self, &request) {
+                Some(answer) => encoded(answer),
+                None => server::Response::empty(http::StatusCode::NOT_FOUND),
+            },
         }
     }
 
@@ -55,12 +59,12 @@
             return server::Response::empty(http::StatusCode::SERVICE_UNAVAILABLE);
         }
         let state = self.journal.state();
-        encoded(&peer::StateReply {
+        encoded(peer::encode(&peer::StateReply {
             from: self.me,
             next: state.next,
             least: state::FORMAT,
             snapshot: peer::Blob(state::snapshot::to_bytes(&state)),
-        })
+        }))
     }
 
     fn records_reply(&self, query: Option<&str>) -> server::Response {
@@ -74,12 +78,12 @@
             offset,
             data: peer::Blob(data.to_vec()),
         });
-        encoded(&peer::RecordsReply {
+        encoded(peer::encode(&peer::RecordsReply {
             from: self.me,
             first: from,
             next: self.journal.state().next,
             records: records.collect(),
-        })
+        }))
     }
 
     fn serve_forwarded(
@@ -92,8 +96,8 @@
         })?;
         if self.journal.state().next < route.offset {
             self.journal.note_end(route.offset);
-            let before = model::Offset(route.offset.0.saturating_sub(1));
-            self.journal.wait_beyond(before, clock::duration(CATCH_UP));
+            self.journal
+                .wait_for(route.offset, clock::duration(CATCH_UP));
         }
         let mut body = std::mem::replace(
             &mut request.body,
@@ -102,8 +106,7 @@
         let held = body.held().cloned();
         let length = body.length();
         let content = match &held {
-            Some(data) if data.is_empty() => forward::Content::Empty,
-            Some(data) => forward::Content::Whole(data),
+            Some(data) => attempt::content(data),
             None => forward::Content::Stream(&mut body, length),
         };
         let headers = request.headers.clone();
@@ -182,31 +185,23 @@
 
 /// Asks other daemons for state and records while the log does not answer.
 pub struct Source {
-    shared: Arc<Shared>,
+    shared: Arc<tables::Shared>,
     agent: ureq::Agent,
 }
 
 impl Source {
     /// Returns a source that asks the daemons of the newest state, and those
     /// named in the settings.
-    pub fn new(shared: Arc<Shared>) -> Self {
-        let config = ureq::Agent::config_builder()
-            .max_redirects(0)
-            .proxy(None)
-            .timeout_global(Some(CALL))
-            .build();
+    pub fn new(shared: Arc<tables::Shared>) -> Self {
         Self {
             shared,
-            agent: config.new_agent(),
+            agent: call::agent(CALL),
         }
     }
 
     fn addresses(&self) -> Vec<SocketAddr> {
         let state = self.shared.journal.state();
-        let up = state
-            .hosts
-            .iter()
-            .filter(|(id, host)| **id != self.shared.me && host.gone.is_none());
+        let up = state.up_hosts().filter(|(id, _)| *id != self.shared.me);
         let near = |host: &&state::Host| host.domain == self.shared.settings.domain;
         let mut hosts: Vec<_> = up.map(|(_, host)| host).collect();
         hosts.sort_by_key(|host| !near(host));
@@ -219,16 +214,9 @@
 
     fn get(&self, path: &str) -> Vec<Vec<u8>> {
         let addresses = self.addresses();
-        let calls = addresses.into_iter().filter_map(|address| {
-            let response = self.agent.get(format!("http://{address}{path}")).call();
-            let mut response = response.ok()?;
-            response
-                .body_mut()
-                .with_config()
-                .limit(REPLY_BYTES)
-                .read_to_vec()
-                .ok()
-        });
+        let addresses = addresses.into_iter();
+        let calls =
+            addresses.filter_map(|address| call::get(&self.agent, address, path, REPLY_BYTES).ok());
         calls.take(2).collect()
     }
 }
@@ -255,8 +243,9 @@
     }
 }
 
-fn encoded(reply: &impl serde::Serialize) -> server::Response {
-    match peer::encode(reply) {
+/// Returns the response with an encoded reply.
+fn encoded(reply: Result<Vec<u8>, peer::Error>) -> server::Response {
+    match reply {
         Ok(body) => server::Response::whole(http::StatusCode::OK, body),
         Err(error) => {
             log::error!("a reply to another daemon could not be written: {error}");
--- a/src/daemon/served.rs
+++ b/src/daemon/served.rs
@@ -9,11 +9,11 @@
 use std::time::Duration;
 
 use crate::admin::status;
-use crate::daemon::shared::Shared;
 use crate::model;
-use crate::peer;
+use crate::peer::{self, call};
 use crate::placement;
 use crate::state;
+use crate::tables;
 
 /// Longest wait for a holder's answer. A holder that is silent for longer
 /// loses its leases soon.
@@ -25,7 +25,7 @@
 /// Largest answer of a holder, in bytes.
 const REPLY_BYTES: u64 = 1 << 20;
 
-impl Shared {
+impl tables::Shared {
     /// Plans moves of shards to targets that are served.
     ///
     /// `plan` is called with the newest state, in which targets that are not
@@ -107,13 +107,7 @@
 }
 
 fn ask(host: &state::Host) -> Option<status::Status> {
-    let config = ureq::Agent::config_builder()
-        .max_redirects(0)
-        .proxy(None)
-        .timeout_global(Some(ASK))
-        .build();
-    let url = format!("http://{}/peer/status", host.peer);
-    let mut response = config.new_agent().get(url).call().ok()?;
-    let body = response.body_mut().with_config().limit(REPLY_BYTES);
-    peer::decode(&body.read_to_vec().ok()?).ok()
+    let agent = call::agent(ASK);
+    let body = call::get(&agent, host.peer, "/peer/status", REPLY_BYTES).ok()?;
+    peer::decode(&body).ok()
 }
