--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod balancer;
 mod cover;
+pub mod delivery;
 mod entry;
 mod handover;
 mod header;
--- a/src/daemon/attempt.rs
+++ b/src/daemon/attempt.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 
 use crate::clock;
+use crate::daemon::delivery;
 use crate::daemon::header;
 use crate::daemon::hold;
 use crate::daemon::refusal;
@@ -247,7 +248,11 @@
         let length = inbound.body.length();
         let body = match small {
             Some(data) => server::Body::Whole(data),
-            None => server::Body::Stream(Box::new(inbound.body), length),
+            None => {
+                let (reader, deadline) = (inbound.body, call.deadline);
+                let relayed = delivery::Relayed { reader, deadline };
+                server::Body::Stream(Box::new(relayed), length)
+            }
         };
         let mut response = server::Response::new(inbound.status, body);
         response.headers = inbound.headers;
--- a/src/daemon/attempt/outcome.rs
+++ b/src/daemon/attempt/outcome.rs
@@ -28,7 +28,7 @@
     result: &Answered,
     (start, end): (Duration, Duration),
 ) -> requests::Attempt {
-    let (outcome, reason) = accounting::outcome(result);
+    let (outcome, reason) = accounting::End::from(result).names();
     requests::Attempt {
         target: destination.target.clone(),
         shard: destination.shard,
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -11,7 +11,6 @@
 use crate::daemon::refusal;
 use crate::daemon::retry;
 use crate::forward;
-use crate::metrics;
 use crate::model;
 use crate::route;
 use crate::server;
@@ -48,9 +47,15 @@
         let request = Arc::new(request);
         let arrived = (start, &request, &id);
         let result = self.route_call(arrived, &mut body, &mut service, &trace);
-        self.count(&request, &id, service.as_ref(), &result, start);
-        self.record(&request, &id, service.as_ref(), &result, (start, trace));
-        let mut response = result.unwrap_or_else(server::Response::from);
+        let account = accounting::Account {
+            shared: self.clone(),
+            request: request.clone(),
+            id: id.clone(),
+            service,
+            elapsed: start.elapsed(),
+            trace: trace.into_inner(),
+        };
+        let mut response = account.close_with(result);
         response
             .headers
             .insert(header::REQUEST_ID, header::value(&id));
@@ -174,39 +179,6 @@
         }
         ended.result
     }
-
-    /// Counts the request in the metrics, and logs it if that is wanted.
-    fn count(
-        &self,
-        request: &server::Request,
-        id: &str,
-        service: Option<&Arc<state::Service>>,
-        result: &Result<server::Response, server::Refusal>,
-        start: Instant,
-    ) {
-        let elapsed = start.elapsed();
-        let (outcome, reason) = accounting::outcome(result);
-        let name = service.map_or("", |service| service.name.as_str());
-        let labels = metrics::Outcome {
-            service: name.to_owned(),
-            outcome,
-            reason,
-        };
-        self.metrics.requests.get_or_create(&labels).inc();
-        let service = metrics::Service {
-            service: labels.service,
-        };
-        let latency = self.metrics.latency.get_or_create(&service);
-        latency.observe(elapsed.as_secs_f64());
-        if self.settings.logs.requests || (result.is_err() && log::log_enabled!(log::Level::Debug))
-        {
-            log::info!(
-                request_id = id, service = name, outcome = outcome, reason = reason,
-                micros = elapsed.as_micros() as u64, method = request.method.as_str();
-                "request ended"
-            );
-        }
-    }
 }
 
 fn situation(
--- a/src/daemon/hold/held.rs
+++ b/src/daemon/hold/held.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use crate::clock;
+use crate::daemon::delivery;
 use crate::daemon::refusal;
 use crate::forward;
 use crate::server;
@@ -69,6 +70,17 @@
         refusal::from_target_failure(&keeper.target, failure)
     }
 
+    /// Returns why reading the target's answer failed.
+    fn cut(&self, error: &io::Error) -> delivery::Cut {
+        let target = &self.keeper.target;
+        log::debug!("reading the answer of {target} failed: {error}");
+        let left = self.deadline.since(clock::now());
+        delivery::Cut::classify(error, left, || match self.shared.may_act(target) {
+            Ok(_) => delivery::Cut::TargetEnded,
+            Err(_) => delivery::Cut::RightLost,
+        })
+    }
+
     /// Frees the slot of a request that the target has refused, and returns
     /// the refusal.
     pub fn refuse(self, why: &str) -> server::Refusal {
@@ -111,10 +123,12 @@
             }
             Ok(count) => Ok(count),
             Err(error) => {
-                if let Some(held) = self.held.take() {
-                    held.give_up();
-                }
-                Err(error)
+                let Some(held) = self.held.take() else {
+                    return Err(error);
+                };
+                let cut = held.cut(&error);
+                held.give_up();
+                Err(cut.into())
             }
         }
     }
--- a/src/daemon/refusal.rs
+++ b/src/daemon/refusal.rs
@@ -175,6 +175,7 @@
             let reason = match failure.cause {
                 forward::Cause::Timeout => server::Reason::Deadline,
                 forward::Cause::Cancelled => server::Reason::Cancelled,
+                forward::Cause::GuardRefused => server::Reason::RightLost,
                 _ => server::Reason::ConnectionLost,
             };
             server::Refusal::unknown(reason, detail)
