Make a new connection cost less than another failure domain

Cause: a new connection cost 40 ms, another domain 20 ms, so that a target of a domain that returned never got its first connection.

Change: 15 ms.

--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -125,7 +125,8 @@
     pub domain_cost: Time,
     /// Cost of a target in another region.
     pub region_cost: Time,
-    /// Cost of a target to which no idle connection exists.
+    /// Cost of a target to which no idle connection exists. Above `domain_cost`, a
+    /// near target that returns would get no requests.
     pub connect_cost: Time,
 }
 
@@ -134,7 +135,7 @@
         Self {
             domain_cost: Time(20),
             region_cost: Time(150),
-            connect_cost: Time(40),
+            connect_cost: Time(15),
         }
     }
 }
