Count the time between reads of the targets from their start

Cause: the next read began 1,200 ms after the last one had ended, so that a slow read delayed the next one as well. Read from the code and the times; no trace of that read exists.

Change: the pause is what is left of the time between reads, a quarter at least.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -187,10 +187,25 @@
     pub(crate) topic: Topic,
     /// Time for which a read waits for a record, in milliseconds.
     pub(crate) wait: u64,
-    /// Pause after a read, in milliseconds.
+    /// Time between reads, in milliseconds: from the end of one that waits for
+    /// records, and else from its start.
     pub(crate) pace: u64,
 }
 
+impl Plan {
+    /// Returns how long to pause after a read that began at `started`.
+    ///
+    /// A slow read must not delay the next one as well; a quarter of the time
+    /// between reads is left for other work.
+    fn pause(&self, started: clock::Millis) -> u64 {
+        if self.wait > 0 {
+            return self.pace;
+        }
+        let spent = clock::now().since(started);
+        self.pace.saturating_sub(spent).max(self.pace / 4)
+    }
+}
+
 /// How far a topic has been read.
 #[derive(Debug, Default)]
 struct Place {
@@ -279,7 +294,8 @@
     place: &mut Place,
     reader: &mut impl Reader,
 ) -> u64 {
-    let source = Source::Own(clock::now());
+    let started = clock::now();
+    let source = Source::Own(started);
     match newest(shared, plan.topic).await {
         Ok((records, end)) => {
             let mut relay = shared.relay.borrow_mut();
@@ -289,7 +305,7 @@
             place.on_read(end);
             shared.relay.borrow_mut().on_read(plan.topic, end);
             relay::announce(shared);
-            plan.pace
+            plan.pause(started)
         }
         Err(error) => fail(shared, plan, place, &error, reader),
     }
@@ -306,7 +322,8 @@
     let Some(offset) = place.from else {
         return 0;
     };
-    let source = Source::Own(clock::now());
+    let started = clock::now();
+    let source = Source::Own(started);
     match wait_for(shared, plan.topic, offset, wait).await {
         Ok(batch) => {
             let (next, end) = (batch.next, batch.end);
@@ -317,7 +334,7 @@
             relay.on_read(plan.topic, next);
             drop(relay);
             relay::pass_on(shared, plan.topic, offset, next, end, records);
-            plan.pace
+            plan.pause(started)
         }
         Err(Failure::Answer(dialect::ReadError::Trimmed(first))) => {
             let topic = plan.topic;
