--- a/src/gateway/steward.rs
+++ b/src/gateway/steward.rs
@@ -482,59 +482,6 @@
         self.log.outdated |= self.log.offset < Some(offset);
     }
 
-    /// Sets the number of live daemons, this one included. Without it, this
-    /// daemon may give the longest leases alone and waits for those of others.
-    pub fn on_daemons(&mut self, live: u32) {
-        self.witnesses.set_live(live);
-    }
-
-    /// Returns for how long this daemon has acknowledged no outage, in
-    /// milliseconds, and the newest record that it knows, for the heartbeat.
-    pub fn report(&self, now: clock::Millis) -> (u64, Option<model::Offset>) {
-        let known = self.log.offset.max(self.peer.offset);
-        (self.witnesses.quiet(now), known)
-    }
-
-    /// Takes what another daemon said of itself: the newest record that it knows,
-    /// and for how long it has acknowledged no outage, in milliseconds.
-    pub fn on_report(
-        &mut self,
-        now: clock::Millis,
-        from: model::HostName,
-        known: Option<model::Offset>,
-        quiet: u64,
-    ) {
-        self.witnesses.report(from, known, now - quiet);
-    }
-
-    /// Returns the outage that other daemons are asked to acknowledge, if this
-    /// daemon is the steward and the log does not answer it.
-    pub fn ask(&mut self, now: clock::Millis) -> Option<u64> {
-        let confirmed = self.log.confirmed?;
-        if !self.may_act(now) || now.since(confirmed) < OUTAGE {
-            return None;
-        }
-        self.witnesses.acknowledge(now);
-        Some(confirmed.0)
-    }
-
-    /// Acknowledges the outage of the steward of the record at `offset` and
-    /// returns true, unless a newer record is known or this daemon has just started.
-    pub fn acknowledge(&mut self, now: clock::Millis, offset: model::Offset) -> bool {
-        let newest = self.log.offset.max(self.peer.offset) <= Some(offset);
-        let allowed = newest && self.witnesses.may_acknowledge(now);
-        if allowed {
-            self.witnesses.acknowledge(now);
-        }
-        allowed
-    }
-
-    /// Takes another daemon's acknowledgement of this daemon's outage.
-    pub fn on_acknowledged(&mut self, now: clock::Millis, from: model::HostName, outage: u64) {
-        self.witnesses.on_acknowledged(from, outage);
-        self.due = now;
-    }
-
     /// Takes the targets and the keyed services as now known; targets that
     /// `members` lacks are no longer known. `listed` is the start of the last
     /// successful read of the targets' list; without it, refused connections
@@ -559,16 +506,6 @@
         self.dirty = true;
     }
 
-    fn list_refused(&mut self, now: clock::Millis, listed: clock::Millis) {
-        for (owner, quiet) in &mut self.quiet {
-            let ready = |member: &Member| {
-                let listed = matches!(member.state, MemberState::Ready | MemberState::Cold);
-                listed && member.owner == *owner
-            };
-            quiet.list(now, listed, self.members.values().any(ready));
-        }
-    }
-
     /// Takes what a daemon says of load by bucket of [`keys::BUCKET`] keys, in
     /// milliseconds of processing per second. Reports may come at any rate;
     /// their figures are smoothed.
--- a/src/gateway/steward/quiet.rs
+++ b/src/gateway/steward/quiet.rs
@@ -69,3 +69,19 @@
         silent.map(|(owner, _)| owner)
     }
 }
+
+impl super::Steward {
+    /// Takes a list, for targets whose connections were refused.
+    pub(super) fn list_refused(&mut self, now: clock::Millis, listed: clock::Millis) {
+        for (owner, quiet) in &mut self.quiet {
+            let ready = |member: &super::Member| {
+                let listed = matches!(
+                    member.state,
+                    super::MemberState::Ready | super::MemberState::Cold
+                );
+                listed && member.owner == *owner
+            };
+            quiet.list(now, listed, self.members.values().any(ready));
+        }
+    }
+}
--- a/src/gateway/steward/witness.rs
+++ b/src/gateway/steward/witness.rs
@@ -122,3 +122,58 @@
         times.get(self.others()).copied()
     }
 }
+
+impl super::Steward {
+    /// Sets the number of live daemons, this one included. Without it, this
+    /// daemon may give the longest leases alone and waits for those of others.
+    pub fn on_daemons(&mut self, live: u32) {
+        self.witnesses.set_live(live);
+    }
+
+    /// Returns for how long this daemon has acknowledged no outage, in
+    /// milliseconds, and the newest record that it knows, for the heartbeat.
+    pub fn report(&self, now: clock::Millis) -> (u64, Option<model::Offset>) {
+        let known = self.log.offset.max(self.peer.offset);
+        (self.witnesses.quiet(now), known)
+    }
+
+    /// Takes what another daemon said of itself: the newest record that it knows,
+    /// and for how long it has acknowledged no outage, in milliseconds.
+    pub fn on_report(
+        &mut self,
+        now: clock::Millis,
+        from: model::HostName,
+        known: Option<model::Offset>,
+        quiet: u64,
+    ) {
+        self.witnesses.report(from, known, now - quiet);
+    }
+
+    /// Returns the outage that other daemons are asked to acknowledge, if this
+    /// daemon is the steward and the log does not answer it.
+    pub fn ask(&mut self, now: clock::Millis) -> Option<u64> {
+        let confirmed = self.log.confirmed?;
+        if !self.may_act(now) || now.since(confirmed) < super::OUTAGE {
+            return None;
+        }
+        self.witnesses.acknowledge(now);
+        Some(confirmed.0)
+    }
+
+    /// Acknowledges the outage of the steward of the record at `offset` and
+    /// returns true, unless a newer record is known or this daemon has just started.
+    pub fn acknowledge(&mut self, now: clock::Millis, offset: model::Offset) -> bool {
+        let newest = self.log.offset.max(self.peer.offset) <= Some(offset);
+        let allowed = newest && self.witnesses.may_acknowledge(now);
+        if allowed {
+            self.witnesses.acknowledge(now);
+        }
+        allowed
+    }
+
+    /// Takes another daemon's acknowledgement of this daemon's outage.
+    pub fn on_acknowledged(&mut self, now: clock::Millis, from: model::HostName, outage: u64) {
+        self.witnesses.on_acknowledged(from, outage);
+        self.due = now;
+    }
+}
