Acknowledge an outage only while the log answers this daemon neither

Cause: a steward that the log turns away alone asked for acknowledgements, and all others gave them though the log answered them. It then granted the longest leases, and the daemon that took over waited up to 13 s for these before it gave released keys on.

Ruled out: safety; fewer acknowledgements only mean fewer longest leases.

Change: no acknowledgement within 110% of the time between reads after an answer of the log, of an own read or the reader's.

--- a/src/gateway/executor.rs
+++ b/src/gateway/executor.rs
@@ -141,7 +141,10 @@
             } = claim;
             let incarnation = heartbeat.incarnation;
             machine.on_heartbeat(now, from.clone(), incarnation, offset, confirmed);
+            // Where the log answers others, one of them takes over: longest leases
+            // would only delay what it does with the keys.
             if let Some(outage) = claim.outage
+                && !shared.is_log_answering(now)
                 && machine.acknowledge(now, offset)
             {
                 acknowledge(&shared, &from, outage);
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -13,6 +13,7 @@
 use crate::gateway::keys;
 use crate::gateway::peers;
 use crate::gateway::relay;
+use crate::gateway::settings;
 use crate::gateway::shared::Shared;
 use crate::model;
 
@@ -376,6 +377,11 @@
     all / 2 + (all as f64 * random) as u64
 }
 
+/// Returns the time between reads of the targets, in milliseconds.
+pub(crate) fn pace(settings: &settings::Settings) -> u64 {
+    settings.bounds.drain.0 * PACE / 100
+}
+
 /// Starts all readers.
 pub(crate) fn start(shared: &Rc<Shared>) {
     let operator = readers::Operator {
@@ -391,11 +397,7 @@
     let plan = |topic, wait, pace| Plan { topic, wait, pace };
     let operators = plan(Topic::Operator, OPERATOR_WAIT, 0);
     tokio::task::spawn_local(follow(Rc::clone(shared), operators, operator));
-    let list = plan(
-        Topic::Targets,
-        0,
-        shared.settings.bounds.drain.0 * PACE / 100,
-    );
+    let list = plan(Topic::Targets, 0, pace(&shared.settings));
     tokio::task::spawn_local(follow(Rc::clone(shared), list, targets));
     let notices = plan(Topic::Hosts, WAIT, HOSTS_PAUSE);
     tokio::task::spawn_local(follow(Rc::clone(shared), notices, hosts));
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -43,6 +43,10 @@
 /// Most daemons that make their first call one after the other.
 const STAGGERED: u32 = 6;
 
+/// Time since the last answer for which the log counts as answering, in percent of
+/// the time between reads.
+const ANSWERING: u64 = 110;
+
 /// Time for records under way before a daemon reads what it seems to have missed.
 const UNDER_WAY: Duration = Duration::from_millis(30);
 
@@ -175,6 +179,12 @@
         self.read = Some(clock::now());
     }
 
+    /// Returns when the log last answered a read, as far as this daemon knows.
+    fn last_answer(&self) -> Option<clock::Millis> {
+        let heard = self.heard.as_ref().map(|(heard, _)| *heard);
+        self.read.max(heard)
+    }
+
     /// Returns whether an own read was answered less than `silence` milliseconds ago.
     fn is_reading(&self, now: clock::Millis, silence: u64) -> bool {
         self.read.is_some_and(|read| now.since(read) < silence)
@@ -295,6 +305,14 @@
         1 + peers.near(&self.settings.domain, clock::now())
     }
 
+    /// Returns whether the log has answered this daemon, or the reader of its failure
+    /// domain, within the time between two reads.
+    pub(crate) fn is_log_answering(&self, now: clock::Millis) -> bool {
+        let limit = feed::pace(&self.settings) * ANSWERING / 100;
+        let last = self.relay.borrow().last_answer();
+        last.is_some_and(|last| now.since(last) < limit)
+    }
+
     /// Returns for how long the log has answered, in milliseconds.
     pub(crate) fn answering_for(&self, now: clock::Millis) -> u64 {
         let since = match self.is_relayed() {
