Show the age of each daemon's view of the log, and its steps

No daemon knew how old its view of the log was, so that slow reads, lost datagrams and a reader that stopped looked alike.

A view is as old as the start of the read that returned its last record. The reader announces the age of its views in a message of its own, which older daemons skip. Metrics give the age now, the age before each renewal, and the time of own reads; a warning names the steps when a view was old.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -26,6 +26,7 @@
 pub mod shared;
 pub mod status;
 pub mod trace;
+pub mod view;
 
 mod admin;
 mod executor;
--- a/src/gateway/adapter.rs
+++ b/src/gateway/adapter.rs
@@ -29,6 +29,31 @@
     Hosts,
 }
 
+impl Topic {
+    /// All topics, in the order of their indexes.
+    pub const ALL: [Self; 4] = [Self::Targets, Self::Operator, Self::Table, Self::Hosts];
+
+    /// Returns the index of the topic in [`Topic::ALL`] and in messages.
+    pub fn index(self) -> usize {
+        match self {
+            Self::Targets => 0,
+            Self::Operator => 1,
+            Self::Table => 2,
+            Self::Hosts => 3,
+        }
+    }
+
+    /// Returns the name of the topic in metrics and log lines.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Targets => "targets",
+            Self::Operator => "operator",
+            Self::Table => "table",
+            Self::Hosts => "hosts",
+        }
+    }
+}
+
 /// Record of a topic.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Record {
--- a/src/gateway/admin.rs
+++ b/src/gateway/admin.rs
@@ -14,6 +14,7 @@
 
 use crate::clock;
 use crate::finding;
+use crate::gateway::adapter::Topic;
 use crate::gateway::counters;
 use crate::gateway::exchange::explain;
 use crate::gateway::query;
@@ -226,5 +227,9 @@
             .is_some_and(|(_, table)| table.incarnation == shared.incarnation),
         reader: !shared.has_reader(),
         running: shared.in_flight.get(),
+        view_ages: {
+            let (views, now) = (shared.views.borrow(), clock::now());
+            Topic::ALL.map(|topic| views.age(topic, now))
+        },
     })
 }
--- a/src/gateway/counters.rs
+++ b/src/gateway/counters.rs
@@ -27,6 +27,9 @@
     0.005, 0.01, 0.02, 0.04, 0.08, 0.15, 0.3, 0.6, 1.0, 2.0, 5.0, 15.0,
 ];
 
+/// Upper bounds of the buckets of view ages and read times, in seconds.
+const VIEW_AGE_BUCKETS_S: [f64; 10] = [0.05, 0.1, 0.2, 0.5, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0];
+
 /// Milliseconds per second.
 const MS_PER_S: f64 = 1e3;
 
@@ -50,6 +53,12 @@
     outcome: &'static str,
 }
 
+/// Label of a topic of the log.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct TopicLabel {
+    topic: &'static str,
+}
+
 /// Labels of orders to targets.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct OrderLabels {
@@ -127,15 +136,6 @@
     }
 }
 
-fn topic_label(topic: adapter::Topic) -> &'static str {
-    match topic {
-        adapter::Topic::Targets => "targets",
-        adapter::Topic::Operator => "operator",
-        adapter::Topic::Table => "table",
-        adapter::Topic::Hosts => "hosts",
-    }
-}
-
 fn reply_label(reply: &coordinator::OrderOutcome) -> &'static str {
     match reply {
         coordinator::OrderOutcome::Done(_) => "done",
@@ -164,6 +164,11 @@
     pub reader: bool,
     /// Requests in progress.
     pub running: usize,
+    /// Age of the view of each topic in milliseconds, in the order of [`Topic::ALL`];
+    /// `None` before the first complete read.
+    ///
+    /// [`Topic::ALL`]: adapter::Topic::ALL
+    pub view_ages: [Option<u64>; adapter::Topic::ALL.len()],
 }
 
 /// Gauges, which are set when the metrics are rendered.
@@ -173,6 +178,7 @@
     coordinator: Gauge,
     reader: Gauge,
     running: Gauge,
+    view_ages: Family<TopicLabel, Gauge<f64, AtomicU64>>,
 }
 
 /// Metrics of one daemon since its start.
@@ -204,6 +210,8 @@
     route_seconds: Family<RouteLabel, Histogram, fn() -> Histogram>,
     log_results: Family<CallLabels, Counter>,
     order_results: Family<OrderLabels, Counter>,
+    view_ages: Family<TopicLabel, Histogram, fn() -> Histogram>,
+    read_seconds: Family<TopicLabel, Histogram, fn() -> Histogram>,
     gauges: Gauges,
     routes: RefCell<HashMap<Arc<str>, RouteMetrics>>,
     registry: Registry,
@@ -212,6 +220,7 @@
 impl Default for Counters {
     fn default() -> Self {
         let new_histogram: fn() -> Histogram = || Histogram::new(REQUEST_TIME_BUCKETS_S);
+        let new_age_histogram: fn() -> Histogram = || Histogram::new(VIEW_AGE_BUCKETS_S);
         let mut counters = Self {
             requests: Counter::default(),
             answered: Counter::default(),
@@ -228,6 +237,8 @@
             route_seconds: Family::new_with_constructor(new_histogram),
             log_results: Family::default(),
             order_results: Family::default(),
+            view_ages: Family::new_with_constructor(new_age_histogram),
+            read_seconds: Family::new_with_constructor(new_age_histogram),
             gauges: Gauges::default(),
             routes: RefCell::default(),
             registry: Registry::with_prefix("gateway"),
@@ -282,7 +293,13 @@
         registry.register("log_results", help, self.log_results.clone());
         let help = "Orders to targets by kind and outcome";
         registry.register("order_results", help, self.order_results.clone());
+        let help = "Age of the view of a topic just before it is renewed";
+        registry.register("view_age_at_renewal_seconds", help, self.view_ages.clone());
+        let help = "Time of own reads of a topic that wait for no record";
+        registry.register("log_read_seconds", help, self.read_seconds.clone());
         let gauges = &self.gauges;
+        let help = "Age of what the daemon knows of a topic";
+        registry.register("view_age_seconds", help, gauges.view_ages.clone());
         let help = "Version of the configuration in effect";
         registry.register("configuration_version", help, gauges.version.clone());
         let help = "Whether the daemon owns the key table";
@@ -364,12 +381,30 @@
     /// Counts a call to the log on `topic` by its outcome.
     pub fn on_call(&self, topic: adapter::Topic, outcome: impl Into<CallOutcome>) {
         let label = CallLabels {
-            topic: topic_label(topic),
+            topic: topic.label(),
             outcome: outcome.into().label(),
         };
         self.log_results.get_or_create(&label).inc();
     }
 
+    /// Counts the age in milliseconds that the view of a topic had before it was renewed.
+    pub fn on_view_age(&self, topic: adapter::Topic, age: u64) {
+        let label = TopicLabel {
+            topic: topic.label(),
+        };
+        let histogram = self.view_ages.get_or_create(&label);
+        histogram.observe(age as f64 / MS_PER_S);
+    }
+
+    /// Counts the time in milliseconds of a read of a topic that waited for no record.
+    pub fn on_read_time(&self, topic: adapter::Topic, time: u64) {
+        let label = TopicLabel {
+            topic: topic.label(),
+        };
+        let histogram = self.read_seconds.get_or_create(&label);
+        histogram.observe(time as f64 / MS_PER_S);
+    }
+
     /// Counts an order to a target by the target's reply.
     pub fn on_order(&self, kind: OrderKind, reply: &coordinator::OrderOutcome) {
         let label = OrderLabels {
@@ -385,6 +420,15 @@
         self.gauges.coordinator.set(i64::from(values.coordinator));
         self.gauges.reader.set(i64::from(values.reader));
         self.gauges.running.set(values.running as i64);
+        for (topic, age) in adapter::Topic::ALL.into_iter().zip(values.view_ages) {
+            let label = TopicLabel {
+                topic: topic.label(),
+            };
+            if let Some(age) = age {
+                let gauge = self.gauges.view_ages.get_or_create(&label);
+                gauge.set(age as f64 / MS_PER_S);
+            }
+        }
         let mut metrics = String::new();
         // Writing to a string can't fail, so that only a metric's encoder can.
         if let Err(error) = text::encode(&mut metrics, &self.registry) {
--- a/src/gateway/executor.rs
+++ b/src/gateway/executor.rs
@@ -141,6 +141,18 @@
                 }
                 return;
             }
+            peers::Message::Views(host, announcement) => {
+                if shared.defers_to(&host) {
+                    let renewals = shared
+                        .views
+                        .borrow_mut()
+                        .on_announcement(&announcement, now);
+                    for (topic, renewal) in renewals {
+                        feed::on_renewal(&shared, topic, Some(renewal));
+                    }
+                }
+                return;
+            }
             peers::Message::Acknowledged(host, outage) => {
                 machine.borrow_mut().on_acknowledged(now, host, outage);
                 return shared.wake_coordinator.notify_one();
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -16,6 +16,7 @@
 use crate::gateway::relay;
 use crate::gateway::settings;
 use crate::gateway::shared::Shared;
+use crate::gateway::view;
 use crate::model;
 
 /// Interval between reads of the targets' topic, in percent of the time within which
@@ -58,6 +59,9 @@
 /// Pause between reads of the hosts' topic: hosts that start together are read at once.
 const HOSTS_PAUSE_MS: u64 = 1_000;
 
+/// Age of a view from which on its renewal is logged, in percent of the drain bound.
+const OLD_VIEW_PERCENT: u64 = 75;
+
 /// Divisor of the interval between reads that gives the shortest pause after a slow read.
 const MIN_PAUSE_DIVISOR: u64 = 4;
 
@@ -300,6 +304,10 @@
             let records = handler.apply(batch, Source::Relayed);
             let mut relay = shared.relay.borrow_mut();
             relay.extend_cache(plan.topic, from, next, &records);
+            drop(relay);
+            let now = clock::now();
+            let renewal = shared.views.borrow_mut().on_records(plan.topic, next, now);
+            on_renewal(shared, plan.topic, renewal);
         }
         _ => {
             read_next(shared, plan, 0, position, handler).await;
@@ -325,6 +333,7 @@
             drop(relay);
             handler.replace(records, end, source);
             position.on_read(end);
+            on_own_read(shared, plan, started, end, end);
             shared.relay.borrow_mut().on_read(plan.topic, end);
             relay::announce_progress(shared);
             plan.pause(started)
@@ -356,7 +365,11 @@
             relay.extend_cache(plan.topic, offset, next, &records);
             relay.on_read(plan.topic, next);
             drop(relay);
+            on_own_read(shared, plan, started, next, end);
             relay::pass_on(shared, plan.topic, offset, next, end, records);
+            if plan.topic == Topic::Targets {
+                relay::announce_views(shared);
+            }
             plan.pause(started)
         }
         Err(CallError::Answer(adapter::ReadError::Trimmed(first))) => {
@@ -369,6 +382,52 @@
     }
 }
 
+/// Records how current a read of this daemon makes its view of the topic, which ended at
+/// `end` when it was known up to `next`.
+fn on_own_read(
+    shared: &Shared,
+    plan: &Plan,
+    started: clock::Millis,
+    next: model::Offset,
+    end: model::Offset,
+) {
+    let now = clock::now();
+    if plan.wait == 0 {
+        let time = now.since(started);
+        shared.counters.on_read_time(plan.topic, time);
+    }
+    let mut views = shared.views.borrow_mut();
+    let renewal = match next < end {
+        true => views.on_records(plan.topic, next, now),
+        false => views.on_read(plan.topic, next, started, now),
+    };
+    drop(views);
+    on_renewal(shared, plan.topic, renewal);
+}
+
+/// Counts the renewal of a view, and logs it if the view had been old: its age plus the
+/// time to reach a target may exceed the drain bound.
+pub(crate) fn on_renewal(shared: &Shared, topic: Topic, renewal: Option<view::Renewal>) {
+    let Some(renewal) = renewal else {
+        return;
+    };
+    let Some(age) = renewal.age_before else {
+        return;
+    };
+    shared.counters.on_view_age(topic, age);
+    let limit = shared.settings.bounds.drain.0 * OLD_VIEW_PERCENT / 100;
+    if age > limit && matches!(topic, Topic::Targets | Topic::Operator) {
+        log::warn!(
+            topic = topic.label(),
+            age_ms = age,
+            renewed_age_ms = renewal.age,
+            gap_ms = renewal.gap,
+            own = !shared.has_reader();
+            "the view of the log was old"
+        );
+    }
+}
+
 /// Records a failed read; returns the pause before the next one in milliseconds.
 fn on_failure(
     shared: &Shared,
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -13,6 +13,7 @@
 use crate::gateway::choice::{self, RequestCounts};
 use crate::gateway::relay;
 use crate::gateway::shared::Shared;
+use crate::gateway::view;
 use crate::model;
 
 /// Time since its last heartbeat, or since its record was read if there was none, for
@@ -163,6 +164,10 @@
     /// Acknowledgment by this host of the outage that a coordinator's claim names.
     #[serde(rename = "a")]
     Acknowledged(model::HostName, u64),
+    /// How current the views of the host are that reads the log for its failure domain.
+    /// A message of its own, since older daemons skip only whole messages.
+    #[serde(rename = "v")]
+    Views(model::HostName, view::Announcement),
 }
 
 /// A known daemon.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -92,7 +92,7 @@
             (record.offset, record.key, value)
         });
         Self {
-            topic: index(topic) as u8,
+            topic: topic.index() as u8,
             from,
             next,
             end,
@@ -159,19 +159,6 @@
     responses: [Option<exchange::CachedResponse>; 4],
 }
 
-/// Returns the index of a topic in arrays and messages.
-fn index(topic: Topic) -> usize {
-    match topic {
-        Topic::Targets => 0,
-        Topic::Operator => 1,
-        Topic::Table => 2,
-        Topic::Hosts => 3,
-    }
-}
-
-/// Topics in the order of their indexes.
-const TOPICS: [Topic; 4] = [Topic::Targets, Topic::Operator, Topic::Table, Topic::Hosts];
-
 /// Receives relayed batches of a topic; `None` stands for a progress message.
 pub(crate) type Inbox = mpsc::UnboundedReceiver<Option<Relayed>>;
 
@@ -185,7 +172,7 @@
 
     /// Records that this daemon itself has read a topic up to `next`.
     pub(crate) fn on_read(&mut self, topic: Topic, next: model::Offset) {
-        self.next[index(topic)] = Some(next);
+        self.next[topic.index()] = Some(next);
         self.last_read = Some(clock::now());
     }
 
@@ -209,7 +196,7 @@
         records: &[adapter::Record],
         next: model::Offset,
     ) {
-        self.caches[index(topic)].replace(records, next);
+        self.caches[topic.index()].replace(records, next);
     }
 
     /// Adds the records from `from` up to `next` to the cache of a topic.
@@ -220,7 +207,7 @@
         next: model::Offset,
         records: &[adapter::Record],
     ) {
-        self.caches[index(topic)].extend(from, next, records);
+        self.caches[topic.index()].extend(from, next, records);
     }
 
     /// Records which daemon is the reader.
@@ -230,7 +217,7 @@
 
     /// Hands records that the reader passed on to the task that follows their topic.
     pub(crate) fn on_relayed(&mut self, relayed: Relayed) {
-        let topic = TOPICS.get(usize::from(relayed.topic));
+        let topic = Topic::ALL.get(usize::from(relayed.topic));
         if let Some(inbox) = topic.and_then(|topic| self.inboxes.get(topic)) {
             // The inbox is closed only when the process ends.
             let _ = inbox.send(Some(relayed));
@@ -255,7 +242,7 @@
 
     /// Returns the offset up to which the reader has read a topic, if it is known.
     pub fn reader_offset(&self, topic: Topic) -> Option<model::Offset> {
-        self.progress.as_ref()?.1.next[index(topic)]
+        self.progress.as_ref()?.1.next[topic.index()]
     }
 
     /// Returns whether a progress message arrived less than `timeout` milliseconds ago.
@@ -472,6 +459,18 @@
     }
 }
 
+/// Announces this daemon's views of the log to its failure domain, unless another daemon
+/// reads.
+pub(crate) fn announce_views(shared: &Shared) {
+    if shared.stopping.get() || shared.has_reader() {
+        return;
+    }
+    let host = shared.settings.host.clone();
+    let announcement = shared.views.borrow().announcement(clock::now());
+    let message = peers::Message::Views(host, announcement);
+    peers::send_to_domain(shared, &peers::encode(&message));
+}
+
 /// Sends the progress after a read from `source`, if it was an own one.
 pub(crate) fn announce_own_read(shared: &Rc<Shared>, source: feed::Source) {
     if matches!(source, feed::Source::Own(_)) {
@@ -487,6 +486,7 @@
         tokio::task::spawn_local(async move {
             tokio::time::sleep(delay).await;
             announce_progress(&shared);
+            announce_views(&shared);
         });
     }
 }
--- a/src/gateway/relay/exchange.rs
+++ b/src/gateway/relay/exchange.rs
@@ -14,7 +14,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 
-use super::{Relayed, TOPICS, index};
+use super::Relayed;
 use crate::clock;
 use crate::gateway::adapter::{self, Topic};
 use crate::gateway::client;
@@ -49,7 +49,7 @@
     let reader = shared.relay.borrow().reader.clone()?;
     let address = shared.peers.borrow().address(&reader)?;
     let mut request = http::Request::new(Bytes::new());
-    *request.uri_mut() = format!("/records/{}/{from}", index(topic)).parse().ok()?;
+    *request.uri_mut() = format!("/records/{}/{from}", topic.index()).parse().ok()?;
     let host = address.to_string().parse().ok()?;
     request.headers_mut().insert(http::header::HOST, host);
     let timeouts = client::ResponseTimeouts {
@@ -124,7 +124,7 @@
 /// Returns the topic and offset of a path such as `/records/1/250`.
 fn parse_path(path: &str) -> Option<(Topic, model::Offset)> {
     let (topic, from) = path.strip_prefix("/records/")?.split_once('/')?;
-    let topic = TOPICS.get(topic.parse::<usize>().ok()?)?;
+    let topic = Topic::ALL.get(topic.parse::<usize>().ok()?)?;
     Some((*topic, model::Offset(from.parse().ok()?)))
 }
 
@@ -132,8 +132,8 @@
 /// missing here.
 fn records(shared: &Shared, topic: Topic, from: model::Offset) -> Option<Bytes> {
     let mut relay = shared.relay.borrow_mut();
-    let (records, next) = relay.caches[index(topic)].since(from)?;
-    let cached = &relay.responses[index(topic)];
+    let (records, next) = relay.caches[topic.index()].since(from)?;
+    let cached = &relay.responses[topic.index()];
     let cached = cached
         .as_ref()
         .filter(|response| (response.from, response.next) == (from, next));
@@ -147,7 +147,7 @@
         body.len(),
         clock::now().since(started)
     );
-    relay.responses[index(topic)] = Some(CachedResponse {
+    relay.responses[topic.index()] = Some(CachedResponse {
         from,
         next,
         body: body.clone(),
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -24,6 +24,7 @@
 use crate::gateway::registry;
 use crate::gateway::relay;
 use crate::gateway::settings;
+use crate::gateway::view;
 use crate::model;
 
 /// Shared state of a daemon.
@@ -57,6 +58,8 @@
     pub outage_since: Cell<Option<clock::Millis>>,
     /// State of the relay, by which one daemon reads the log for its failure domain.
     pub(crate) relay: RefCell<relay::Relay>,
+    /// How current this daemon's view of each topic of the log is.
+    pub(crate) views: RefCell<view::Views>,
     /// Socket for messages to other daemons.
     pub(crate) socket: Rc<UdpSocket>,
     /// Statistics of the targets' speed and load, for the choice of targets.
@@ -127,6 +130,7 @@
             answering_since: Cell::default(),
             outage_since: Cell::default(),
             relay: RefCell::default(),
+            views: RefCell::default(),
             socket: Rc::new(socket),
             choice: RefCell::default(),
             distributions: RefCell::default(),
