Bound the age of the view of the targets: overlapping reads, own calls by its age

Cause: a daemon acted on a list of targets whose age it did not know and nothing bounded. The steps, from the acknowledgement on: (1) the reader began a read only when the one before had ended, so that a slow read was paid twice, and gave one up after 1 s, which on a full link may never succeed; (2) the progress message preceded the records, so that their loss as a datagram showed only 150 ms later, or with the next read; (3) progress messages that were repeated without a read kept a reader alive whose calls failed, and 1,860 ms had to pass before another daemon read; (4) relayed records counted as 100 ms old whatever the read took, which prolonged the use of draining owners of keys by that time; (5) removals that were delayed for an outage of the log went on being delayed at daemons that read through another one, although the log had answered that one throughout.

Change: reads of the targets begin every 20% of the bound, up to three overlapping; progress and announcement follow the records; a daemon makes its own calls by the age of the reads that its reader announces, not by its messages; a reader with old reads leaves reading to others; the registry's time comes from the announced view; a progress message can end the delay of removals.

Not bounded: a link that delays every read by more than about half of the bound.

--- a/src/gateway/executor.rs
+++ b/src/gateway/executor.rs
@@ -133,16 +133,22 @@
             }
             peers::Message::Progress(host, progress) => {
                 if shared.defers_to(&host) {
+                    let answering = progress.answering;
                     let mut relay = shared.relay.borrow_mut();
                     relay.on_reader(host);
                     relay.on_progress(progress, now);
                     drop(relay);
-                    shared.reader_progress.notify_waiters();
+                    check_outage(&shared, answering, now);
                 }
                 return;
             }
             peers::Message::Views(host, announcement) => {
                 if shared.defers_to(&host) {
+                    shared
+                        .relay
+                        .borrow_mut()
+                        .on_announcement(&announcement, now);
+                    shared.reader_progress.notify_waiters();
                     let renewals = shared
                         .views
                         .borrow_mut()
@@ -206,7 +212,8 @@
     let Some(since) = shared.outage_since.get() else {
         return;
     };
-    if shared.answering_since.get().is_some() && answering > now.since(since) {
+    let reads_again = shared.answering_since.get().is_some() || shared.has_reader();
+    if reads_again && answering > now.since(since) {
         shared.outage_since.set(None);
         let mut registry = shared.registry.borrow_mut();
         registry.clear_outage();
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -2,10 +2,12 @@
 //! the key table.
 
 mod readers;
+mod reads;
 
 use std::rc::Rc;
 use std::time::Duration;
 
+use self::reads::Reads;
 use crate::clock;
 use crate::finding;
 use crate::gateway::adapter::{self, Topic};
@@ -21,8 +23,9 @@
 
 /// Interval between reads of the targets' topic, in percent of the time within which
 /// a draining target must stop getting new work. The topic gets new records all the
-/// time, so that a read that waits for one would not save a call.
-const TARGETS_INTERVAL_PERCENT: u64 = 40;
+/// time, so that a read that waits for one would not save a call. An entry is known after
+/// at most this interval and the time of one read.
+const TARGETS_INTERVAL_PERCENT: u64 = 20;
 
 /// Time for which a read of the hosts' topic waits for a record.
 const HOSTS_WAIT_MS: u64 = 10_000;
@@ -36,6 +39,10 @@
 /// waits, and for each further part of the answer.
 const ANSWER_TIMEOUT_MS: u64 = 1_000;
 
+/// Timeout for the head of an answer to a read of the targets. On a saturated link an
+/// answer takes more than a second, and the next read begins meanwhile.
+const TARGETS_ANSWER_TIMEOUT_MS: u64 = 2_000;
+
 /// Timeout for a whole answer of the log, in addition to the timeout for its head. A
 /// configuration of a megabyte that all daemons of a region read at once takes
 /// several seconds on a link between regions.
@@ -133,7 +140,11 @@
     wait: u64,
 ) -> Result<adapter::Batch, CallError> {
     let request = shared.adapter.build_read(topic, from, wait);
-    let answer = call(shared, topic, request, wait + ANSWER_TIMEOUT_MS).await?;
+    let timeout = match topic {
+        Topic::Targets => TARGETS_ANSWER_TIMEOUT_MS,
+        _ => ANSWER_TIMEOUT_MS,
+    };
+    let answer = call(shared, topic, request, wait + timeout).await?;
     let batch = shared.adapter.parse_batch(from, &answer);
     shared.counters.on_call(topic, &batch);
     Ok(batch?)
@@ -248,13 +259,37 @@
 pub(crate) async fn follow(shared: Rc<Shared>, plan: Plan, mut handler: impl Handler) {
     let mut inbox = shared.relay.borrow_mut().open(plan.topic);
     let mut position = Position::default();
+    let mut reads = Reads::new();
     loop {
         let pause = match position.from {
-            None => read_all(&shared, &plan, &mut position, &mut handler).await,
+            None => {
+                reads.cancel();
+                read_all(&shared, &plan, &mut position, &mut handler).await
+            }
             Some(offset) if shared.has_reader() => {
+                reads.cancel();
                 let received = relay::receive(&shared, &plan, &mut inbox, offset).await;
                 apply_received(&shared, &plan, &mut position, received, &mut handler).await
             }
+            Some(offset) if plan.wait == 0 => {
+                let read = tokio::select! {
+                    completed = reads.next(&shared, &plan, offset) => Ok(completed),
+                    received = relay::receive_newer(&shared, &plan, &mut inbox, offset) =>
+                        Err(received),
+                    _ = shared.reader_progress.notified() => continue,
+                };
+                match read {
+                    Ok(completed) => {
+                        let pause =
+                            on_completed(&shared, &plan, &mut position, completed, &mut handler);
+                        pause.inspect(|pause| reads.delay(*pause));
+                    }
+                    Err(received) => {
+                        apply_received(&shared, &plan, &mut position, received, &mut handler).await;
+                    }
+                }
+                0
+            }
             Some(offset) => {
                 let read = read_next(&shared, &plan, plan.wait, &mut position, &mut handler);
                 let read = tokio::select! {
@@ -333,9 +368,12 @@
             drop(relay);
             handler.replace(records, end, source);
             position.on_read(end);
-            on_own_read(shared, plan, started, end, end);
+            on_own_read(shared, plan, Some(started), end);
             shared.relay.borrow_mut().on_read(plan.topic, end);
             relay::announce_progress(shared);
+            if plan.topic == Topic::Targets {
+                relay::announce_views(shared, started);
+            }
             plan.pause(started)
         }
         Err(error) => on_failure(shared, plan, position, &error, handler),
@@ -355,51 +393,93 @@
         return 0;
     };
     let started = clock::now();
-    let source = Source::Own(started);
     match wait_for(shared, plan.topic, offset, wait).await {
         Ok(batch) => {
-            let (next, end) = (batch.next, batch.end);
-            let records = handler.apply(batch, source);
-            position.on_read(next);
-            let mut relay = shared.relay.borrow_mut();
-            relay.extend_cache(plan.topic, offset, next, &records);
-            relay.on_read(plan.topic, next);
-            drop(relay);
-            on_own_read(shared, plan, started, next, end);
-            relay::pass_on(shared, plan.topic, offset, next, end, records);
-            if plan.topic == Topic::Targets {
-                relay::announce_views(shared);
-            }
+            on_batch(shared, plan, position, batch, started, handler);
             plan.pause(started)
         }
         Err(CallError::Answer(adapter::ReadError::Trimmed(first))) => {
-            let topic = plan.topic;
-            log::info!("records of {topic:?} before offset {first} are gone; reading the newest");
-            position.from = None;
+            on_trimmed(plan, position, first);
             0
         }
         Err(error) => on_failure(shared, plan, position, &error, handler),
     }
 }
 
-/// Records how current a read of this daemon makes its view of the topic, which ended at
-/// `end` when it was known up to `next`.
-fn on_own_read(
-    shared: &Shared,
+/// Applies the result of one of several overlapping reads; returns the pause before the
+/// next read in milliseconds if it failed.
+fn on_completed(
+    shared: &Rc<Shared>,
     plan: &Plan,
+    position: &mut Position,
+    completed: reads::Completed,
+    handler: &mut impl Handler,
+) -> Option<u64> {
+    match completed.result {
+        Ok(batch) => {
+            on_batch(shared, plan, position, batch, completed.started, handler);
+            None
+        }
+        Err(CallError::Answer(adapter::ReadError::Trimmed(first))) => {
+            on_trimmed(plan, position, first);
+            None
+        }
+        Err(error) => Some(on_failure(shared, plan, position, &error, handler)),
+    }
+}
+
+/// Continues with the newest records, since the log no longer keeps the next ones.
+fn on_trimmed(plan: &Plan, position: &mut Position, first: model::Offset) {
+    let topic = plan.topic;
+    log::info!("records of {topic:?} before offset {first} are gone; reading the newest");
+    position.from = None;
+}
+
+/// Applies the records of an own read that began at `started`, and passes them on.
+/// Records that another read or the reader brought meanwhile are left out.
+fn on_batch(
+    shared: &Rc<Shared>,
+    plan: &Plan,
+    position: &mut Position,
+    mut batch: adapter::Batch,
     started: clock::Millis,
-    next: model::Offset,
-    end: model::Offset,
+    handler: &mut impl Handler,
 ) {
-    let now = clock::now();
-    if plan.wait == 0 {
-        let time = now.since(started);
-        shared.counters.on_read_time(plan.topic, time);
+    let Some(from) = position.from else {
+        return;
+    };
+    let (end, is_complete) = (batch.end, batch.next >= batch.end);
+    batch.records.retain(|record| record.offset >= from);
+    batch.next = batch.next.max(from);
+    let next = batch.next;
+    let records = handler.apply(batch, Source::Own(started));
+    position.on_read(next);
+    let mut relay = shared.relay.borrow_mut();
+    relay.extend_cache(plan.topic, from, next, &records);
+    relay.on_read(plan.topic, next);
+    drop(relay);
+    let known_until = is_complete.then_some(started);
+    on_own_read(shared, plan, known_until, next);
+    relay::pass_on(shared, plan.topic, from, next, end.max(next), records);
+    if plan.topic == Topic::Targets {
+        relay::announce_progress(shared);
+        relay::announce_views(shared, started);
     }
+}
+
+/// Records how current a read of this daemon makes its view of the topic: all records up
+/// to `next` are known, and those up to the time `until` if the read was complete.
+fn on_own_read(shared: &Shared, plan: &Plan, until: Option<clock::Millis>, next: model::Offset) {
+    let now = clock::now();
     let mut views = shared.views.borrow_mut();
-    let renewal = match next < end {
-        true => views.on_records(plan.topic, next, now),
-        false => views.on_read(plan.topic, next, started, now),
+    let renewal = match until {
+        None => views.on_records(plan.topic, next, now),
+        Some(until) => {
+            if plan.wait == 0 {
+                shared.counters.on_read_time(plan.topic, now.since(until));
+            }
+            views.on_read(plan.topic, next, until, now)
+        }
     };
     drop(views);
     on_renewal(shared, plan.topic, renewal);
@@ -411,6 +491,10 @@
     let Some(renewal) = renewal else {
         return;
     };
+    if topic == Topic::Targets {
+        let until = clock::now() - renewal.age;
+        shared.registry.borrow_mut().set_current(until);
+    }
     let Some(age) = renewal.age_before else {
         return;
     };
--- a/src/gateway/feed/readers.rs
+++ b/src/gateway/feed/readers.rs
@@ -9,7 +9,6 @@
 use crate::gateway::catalog;
 use crate::gateway::feed::{Handler, Source, log_findings};
 use crate::gateway::peers;
-use crate::gateway::relay;
 use crate::gateway::shared::Shared;
 use crate::model;
 
@@ -18,10 +17,6 @@
 /// as ready for a while after its return.
 const SETTLE_MS: u64 = 4_000;
 
-/// Longest time from the start of a read by another daemon to the arrival of the
-/// records that it passes on, as long as the log is not slow.
-const RELAY_DELAY_MS: u64 = 100;
-
 /// Applies operators' records: the configuration and drained failure domains.
 pub(super) struct Operator {
     pub(super) shared: Rc<Shared>,
@@ -150,10 +145,10 @@
         let now = clock::now();
         let mut registry = self.shared.registry.borrow_mut();
         registry.sweep(now);
-        registry.set_current(match source {
-            Source::Own(started) => started,
-            Source::Relayed => now - RELAY_DELAY_MS,
-        });
+        // The reader announces afterwards how current relayed records are.
+        if let Source::Own(started) = source {
+            registry.set_current(started);
+        }
         if registry.generation() != before {
             self.shared.wake_coordinator.notify_one();
         }
@@ -196,7 +191,6 @@
             record.value.is_none() || self.shared.registry.borrow().generation() != generation
         });
         self.on_change(before, source);
-        relay::announce_own_read(&self.shared, source);
         newest
     }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -28,11 +28,16 @@
 use crate::gateway::feed;
 use crate::gateway::peers;
 use crate::gateway::shared::Shared;
+use crate::gateway::view;
 use crate::model;
 
-/// Time without a progress message after which a daemon makes its own calls, in percent
-/// of the time within which a draining target must stop getting new work.
-const READER_TIMEOUT_PERCENT: u64 = 62;
+/// Time without a completed read of the reader after which a daemon makes its own calls,
+/// in percent of the time within which a draining target must stop getting new work.
+const SILENCE_PERCENT: u64 = 35;
+
+/// Age of the reader's view of the targets from which on a daemon makes its own calls, in
+/// percent of the same time. The rest is for an own read and for requests on their way.
+const MAX_VIEW_PERCENT: u64 = 60;
 
 /// Largest datagram that is sent.
 const MAX_DATAGRAM_BYTES: usize = 8_000;
@@ -42,11 +47,11 @@
 const STAGGER_MS: u64 = 50;
 
 /// Highest rank by which the first call is delayed further.
-const MAX_STAGGER_RANK: u32 = 6;
+const MAX_STAGGER_RANK: u32 = 12;
 
 /// Time since the last answer for which the log counts as answering, in percent of the
-/// interval between reads of the targets.
-const ANSWERING_PERCENT: u64 = 110;
+/// time within which a draining target must stop getting new work.
+const ANSWERING_PERCENT: u64 = 44;
 
 /// Time to wait, after a progress message, for records that it may have overtaken.
 const REORDER_TIMEOUT: Duration = Duration::from_millis(30);
@@ -140,6 +145,34 @@
     pub answering: u64,
 }
 
+/// A completed read of the targets.
+#[derive(Clone, Copy, Debug)]
+struct CompletedRead {
+    /// Time at which it was known here.
+    at: clock::Millis,
+    /// Time at which it began.
+    started: clock::Millis,
+}
+
+/// How recent a read of the targets has to be for a daemon to rely on its reader.
+#[derive(Clone, Copy, Debug)]
+pub struct ReadLimits {
+    /// Longest time since a read was completed, in milliseconds.
+    pub silence: u64,
+    /// Longest time since the last completed read began, in milliseconds.
+    pub age: u64,
+}
+
+impl ReadLimits {
+    /// Returns for how long a read stays recent, in milliseconds; 0 if it is not.
+    fn remaining(self, read: Option<CompletedRead>, now: clock::Millis) -> u64 {
+        read.map_or(0, |read| {
+            let silence = (read.at + self.silence).since(now);
+            silence.min((read.started + self.age).since(now))
+        })
+    }
+}
+
 /// State of the relay: progress of the reader and of this daemon's own reads.
 #[derive(Debug, Default)]
 pub struct Relay {
@@ -153,6 +186,10 @@
     reader: Option<model::HostName>,
     /// Time of the answer to this daemon's last own read.
     last_read: Option<clock::Millis>,
+    /// This daemon's last completed read of the targets.
+    own_read: Option<CompletedRead>,
+    /// Last completed read of the targets that the reader announced.
+    announced_read: Option<CompletedRead>,
     /// Newest records, by topic.
     caches: [TopicCache; 4],
     /// Last encoded responses to other daemons, by topic.
@@ -183,9 +220,22 @@
         self.last_read.max(at)
     }
 
-    /// Returns whether an own read was answered less than `timeout` milliseconds ago.
-    fn is_reading(&self, now: clock::Millis, timeout: u64) -> bool {
-        self.last_read.is_some_and(|read| now.since(read) < timeout)
+    /// Records a completed read of the targets by this daemon that began at `started`.
+    fn on_own_read(&mut self, started: clock::Millis, now: clock::Millis) {
+        self.own_read = Some(CompletedRead { at: now, started });
+    }
+
+    /// Records the reader's announcement of a completed read of the targets.
+    pub fn on_announcement(&mut self, announcement: &view::Announcement, now: clock::Millis) {
+        if let Some((_, age)) = announcement.views[Topic::Targets.index()] {
+            let started = now - age;
+            self.announced_read = Some(CompletedRead { at: now, started });
+        }
+    }
+
+    /// Returns whether this daemon's own reads are recent.
+    fn is_reading(&self, now: clock::Millis, limits: ReadLimits) -> bool {
+        limits.remaining(self.own_read, now) > 0
     }
 
     /// Replaces the cache of a topic by the newest records of all keys as of offset
@@ -245,10 +295,10 @@
         self.progress.as_ref()?.1.next[topic.index()]
     }
 
-    /// Returns whether a progress message arrived less than `timeout` milliseconds ago.
-    pub fn is_reader_live(&self, now: clock::Millis, timeout: u64) -> bool {
-        let at = self.progress.as_ref().map(|(at, _)| *at);
-        at.is_some_and(|at| now.since(at) < timeout)
+    /// Returns for how long this daemon relies on the reader unless it announces another
+    /// read, in milliseconds; 0 if the reads that it announced are not recent.
+    pub fn reader_remaining(&self, now: clock::Millis, limits: ReadLimits) -> u64 {
+        limits.remaining(self.announced_read, now)
     }
 
     /// Returns the time since which the log has answered the reader, if there is one.
@@ -260,23 +310,27 @@
 }
 
 impl Shared {
-    /// Returns the time without a progress message after which this daemon makes its
-    /// own calls, in milliseconds.
-    fn reader_timeout(&self) -> u64 {
+    /// Returns how recent the reader's reads have to be for this daemon to make no calls
+    /// of its own.
+    fn read_limits(&self) -> ReadLimits {
         let settings = &self.settings;
         let near = |domain: &model::DomainName| *domain == settings.domain;
         let peers = self.peers.borrow();
         let rank = peers.rank(&settings.host, &settings.domain, clock::now(), near);
         let delay = STAGGER_MS * u64::from(rank.min(MAX_STAGGER_RANK));
-        settings.bounds.drain.0 * READER_TIMEOUT_PERCENT / 100 + delay
+        let drain = settings.bounds.drain.0;
+        ReadLimits {
+            silence: drain * SILENCE_PERCENT / 100 + delay,
+            age: drain * MAX_VIEW_PERCENT / 100 + delay,
+        }
     }
 
     /// Returns whether another daemon reads the log for this one. The coordinator always
     /// reads it itself, since it judges targets by the time of its own reads.
     pub(crate) fn has_reader(&self) -> bool {
         let has_reader = || {
-            let timeout = self.reader_timeout();
-            self.relay.borrow().is_reader_live(clock::now(), timeout)
+            let limits = self.read_limits();
+            self.relay.borrow().reader_remaining(clock::now(), limits) > 0
         };
         !self.is_coordinator() && has_reader()
     }
@@ -297,9 +351,8 @@
         let table = self.table.borrow();
         let is_coordinator = table.as_ref().is_some_and(|(_, table)| table.host == *host);
         let is_reading = || {
-            self.relay
-                .borrow()
-                .is_reading(clock::now(), self.reader_timeout())
+            let limits = self.read_limits();
+            self.relay.borrow().is_reading(clock::now(), limits)
         };
         is_coordinator || *host < self.settings.host || !is_reading()
     }
@@ -312,9 +365,9 @@
     }
 
     /// Returns whether the log has answered this daemon, or the reader of its failure
-    /// domain, within about the interval between two reads of the targets.
+    /// domain, within about two intervals between reads of the targets.
     pub(crate) fn is_log_answering(&self, now: clock::Millis) -> bool {
-        let limit = feed::targets_interval(&self.settings) * ANSWERING_PERCENT / 100;
+        let limit = self.settings.bounds.drain.0 * ANSWERING_PERCENT / 100;
         let last = self.relay.borrow().last_answer();
         last.is_some_and(|last| now.since(last) < limit)
     }
@@ -347,7 +400,9 @@
     inbox: &mut Inbox,
     from: model::Offset,
 ) -> Received {
-    let limit = Duration::from_millis(shared.reader_timeout());
+    let limits = shared.read_limits();
+    let limit = shared.relay.borrow().reader_remaining(clock::now(), limits);
+    let limit = Duration::from_millis(limit);
     let Ok(Some(message)) = tokio::time::timeout(limit, inbox.recv()).await else {
         return Received::Unchanged;
     };
@@ -460,8 +515,11 @@
 }
 
 /// Announces this daemon's views of the log to its failure domain, unless another daemon
-/// reads.
-pub(crate) fn announce_views(shared: &Shared) {
+/// reads, after a read of the targets that began at `started`.
+pub(crate) fn announce_views(shared: &Shared, started: clock::Millis) {
+    let mut relay = shared.relay.borrow_mut();
+    relay.on_own_read(started, clock::now());
+    drop(relay);
     if shared.stopping.get() || shared.has_reader() {
         return;
     }
@@ -471,13 +529,6 @@
     peers::send_to_domain(shared, &peers::encode(&message));
 }
 
-/// Sends the progress after a read from `source`, if it was an own one.
-pub(crate) fn announce_own_read(shared: &Rc<Shared>, source: feed::Source) {
-    if matches!(source, feed::Source::Own(_)) {
-        announce_progress(shared);
-    }
-}
-
 /// Repeats the progress message after records that must not come late: otherwise a lost
 /// datagram would be detected only after the next read of the targets.
 fn repeat_progress(shared: &Rc<Shared>) {
@@ -486,7 +537,6 @@
         tokio::task::spawn_local(async move {
             tokio::time::sleep(delay).await;
             announce_progress(&shared);
-            announce_views(&shared);
         });
     }
 }
