Look at a target again when a new connection to it is open

Cause: a target was chosen, then a connection opened, for up to 200 ms (300 ms to another region), and the request written whatever the list said by then.

Change: the client asks whether the request may still be sent when a new connection is open. If not, nothing is written, the connection is closed, and another target is chosen, as after a failed connect; the target is not judged by it. An idle connection is used without a pause, so that the choice itself is the check.

Test: gateway_client::send_withdrawn, on a new interface. Why it works: no await lies between the check and the write. The way of the request on a full link stays, and is not bounded by the daemon.

--- a/src/gateway/client.rs
+++ b/src/gateway/client.rs
@@ -64,6 +64,8 @@
     Refused,
     /// No connection could be opened or used, and nothing was sent.
     Unreachable,
+    /// The request may no longer go to the peer, and nothing was sent.
+    Withdrawn,
     /// The connection broke or the response timed out. The peer may have read the
     /// request.
     Broken,
@@ -169,8 +171,9 @@
     /// Sends a request and returns the response, whose body may still arrive.
     ///
     /// A new connection may take as long as `connect`. An idle connection that
-    /// turns out to be closed before anything was sent is replaced. The connection
-    /// is used again only if `is_reusable` accepts the response's headers.
+    /// turns out to be closed before anything was sent is replaced. Nothing is sent on
+    /// a new connection unless `may_send` holds when it is open. The connection is used
+    /// again only if `is_reusable` accepts the response's headers.
     ///
     /// # Errors
     /// The failure tells whether the request may have reached the peer.
@@ -179,9 +182,11 @@
         peer: Peer,
         request: http::Request<Bytes>,
         connect: Duration,
+        may_send: impl Fn() -> bool,
         is_reusable: impl Fn(&http::HeaderMap) -> bool,
     ) -> Result<http::Response<Body>, Failure> {
-        let exchange = self.send_pooled(peer, request, connect, ResponseTimeouts::UNLIMITED);
+        let timeouts = ResponseTimeouts::UNLIMITED;
+        let exchange = self.send_pooled(peer, request, connect, timeouts, may_send);
         Ok(self.release(peer, exchange.await?, is_reusable))
     }
 
@@ -192,6 +197,7 @@
         request: http::Request<Bytes>,
         connect: Duration,
         timeouts: ResponseTimeouts,
+        may_send: impl Fn() -> bool,
     ) -> Result<Exchange, Failure> {
         let mut request = request.map(Full::new);
         while let Some(connection) = self.take_idle(peer) {
@@ -205,6 +211,9 @@
         if peer.birth != 0 {
             self.opened.inc();
         }
+        if !may_send() {
+            return Err(Failure::Withdrawn);
+        }
         let exchange = Self::exchange(connection, request, timeouts).await;
         exchange.map_err(|(failure, _)| failure)
     }
@@ -235,7 +244,9 @@
         connect: Duration,
         timeouts: ResponseTimeouts,
     ) -> Result<http::Response<Bytes>, Failure> {
-        let exchange = self.send_pooled(peer, request, connect, timeouts).await?;
+        let exchange = self
+            .send_pooled(peer, request, connect, timeouts, || true)
+            .await?;
         let response = self.release(peer, exchange, |_| true);
         let (parts, body) = response.into_parts();
         let bytes = match body {
--- a/src/gateway/exchange/attempt.rs
+++ b/src/gateway/exchange/attempt.rs
@@ -12,7 +12,7 @@
 use crate::gateway::client;
 use crate::gateway::counters;
 use crate::gateway::exchange::response::{self, Body};
-use crate::gateway::exchange::{ResolvedRequest, head};
+use crate::gateway::exchange::{ResolvedRequest, head, selection};
 use crate::gateway::registry;
 use crate::gateway::shared::Shared;
 use crate::gateway::trace;
@@ -128,12 +128,22 @@
             birth: self.target.birth,
         };
         let is_reusable = |headers: &http::HeaderMap| !is_mismatched(shared, request, headers);
-        let response = shared
-            .client
-            .send(peer, outgoing, self.connect_timeout, is_reusable);
+        let may_send = || selection::may_send(shared, request, &self.target);
+        let response =
+            shared
+                .client
+                .send(peer, outgoing, self.connect_timeout, may_send, is_reusable);
         let response = response.await;
         let time = clock::now().since(begin) as f64;
         match response {
+            Err(client::Failure::Withdrawn) => {
+                log::debug!(
+                    target_name = self.instance.target.as_str(), ms = time as u64;
+                    "the target began to leave while the connection was opened"
+                );
+                guard.finish(choice::AttemptOutcome::Abandoned, None);
+                AttemptResult::Unsent
+            }
             Err(failure) if failure.is_unsent() => {
                 guard.finish(choice::AttemptOutcome::Unreachable, None);
                 AttemptResult::Unsent
--- a/src/gateway/exchange/selection.rs
+++ b/src/gateway/exchange/selection.rs
@@ -47,8 +47,7 @@
             target: target.name.clone(),
             birth: target.birth,
         };
-        let allowed = target.state == adapter::EntryState::Ready
-            && !shared.is_drained(&target.domain)
+        let allowed = accepts_work(shared, target)
             && shared.is_allowed(&target.domain, &request.route.regions)
             && !state.tried.contains(&instance);
         if allowed
@@ -76,6 +75,31 @@
     }
 }
 
+/// Returns whether a target without keys may get new requests.
+fn accepts_work(shared: &Shared, target: &registry::Target) -> bool {
+    target.state == adapter::EntryState::Ready && !shared.is_drained(&target.domain)
+}
+
+/// Returns whether a request may still be sent to a target that was chosen for it: the
+/// target may have begun to leave while a connection was opened.
+pub(crate) fn may_send(
+    shared: &Shared,
+    request: &ResolvedRequest,
+    chosen: &registry::Target,
+) -> bool {
+    let registry = shared.registry.borrow();
+    let Some(target) = registry
+        .get(&chosen.name)
+        .filter(|target| target.birth == chosen.birth)
+    else {
+        return false;
+    };
+    match request.key {
+        Some(_) => may_serve_while_draining(shared, target, clock::now()),
+        None => accepts_work(shared, target),
+    }
+}
+
 /// Returns whether this daemon may send one more request to a cold target. Counts
 /// the request if `acquire` is set.
 ///
--- a/tests/gateway_client.rs
+++ b/tests/gateway_client.rs
@@ -385,7 +385,7 @@
                 let path = format!("/{number}");
                 let sent = request(&path, b"");
                 let answer = client
-                    .send(peer(address), sent, CONNECT_TIMEOUT, |_| keep)
+                    .send(peer(address), sent, CONNECT_TIMEOUT, || true, |_| keep)
                     .await;
                 let answer = answer.map(|answer| match answer.into_body() {
                     Body::Whole(bytes) => String::from_utf8_lossy(&bytes).into_owned(),
@@ -407,7 +407,7 @@
         for number in 0..3 {
             let sent = request("/r", b"");
             let answer = client
-                .send(peer(address), sent, CONNECT_TIMEOUT, |_| false)
+                .send(peer(address), sent, CONNECT_TIMEOUT, || true, |_| false)
                 .await;
             let Ok(Body::Whole(bytes)) = answer.map(http::Response::into_body) else {
                 panic!("no whole answer");
@@ -417,10 +417,40 @@
     });
 }
 
+/// Guards against a request that is written although its target began to drain while the
+/// connection was opened.
+#[test]
+fn send_withdrawn() {
+    let (ended, end) = oneshot::channel();
+    let address = serve(move |listener| {
+        let mut link = Link::accept(&listener);
+        let mut bytes = Vec::new();
+        // The connection ends with a reset or a close.
+        let _ = link.0.read_to_end(&mut bytes);
+        ended.send(bytes.len()).expect("a waiting test");
+    });
+    run(async {
+        let client = Client::new();
+        let sent = request("/order", b"x");
+        let answer = client.send(peer(address), sent, CONNECT_TIMEOUT, || false, |_| true);
+        let failure = answer.await.map(|_| "an answer").expect_err("no answer");
+        assert_eq!(failure, Failure::Withdrawn);
+        assert!(failure.is_unsent());
+        run_aborted_tasks().await;
+        assert_eq!(end.await, Ok(0), "bytes that arrived");
+    });
+}
+
 /// Reads a streamed response and returns its length in bytes.
 async fn read_streamed(address: SocketAddr) -> Result<usize, Failure> {
     let client = Client::new();
-    let answer = client.send(peer(address), request("/r", b""), CONNECT_TIMEOUT, |_| true);
+    let answer = client.send(
+        peer(address),
+        request("/r", b""),
+        CONNECT_TIMEOUT,
+        || true,
+        |_| true,
+    );
     let Body::Partial(first, mut rest) = answer.await?.into_body() else {
         panic!("a large answer in one part");
     };
