Pass on a configuration in one compressed datagram

A configuration of more than about 35 routes does not fit into a datagram of 8,000 bytes, so that each daemon of the failure domain fetches it from the reader over HTTP, all at once and over the reader's link of 10 Mbit/s. On a full link a fetch is given up after 500 ms without a byte, and a read of the log follows, which had no better bound.

Change: records that do not fit are sent in one compressed datagram, in a message that older daemons skip, before the progress message; what is lost or still too long is fetched as before. A new counter, gateway_record_requests, shows how often daemons ask a reader.

Test: path::relay::configuration_medium, red with the compressed message disabled (daemons asked for records), green with it. Why it works: the usual configuration needs one datagram and no answer; the progress message, which is repeated after 150 and 450 ms, still shows its loss.

--- a/src/gateway/counters.rs
+++ b/src/gateway/counters.rs
@@ -202,6 +202,8 @@
     pub log_calls: Counter,
     /// Calls to the log that got no response, or none before the timeout.
     pub log_failures: Counter,
+    /// Requests of other daemons for records that they missed.
+    pub record_requests: Counter,
     /// Orders sent to targets.
     pub orders: Counter,
     /// Connections opened to targets.
@@ -231,6 +233,7 @@
             retries: Counter::default(),
             log_calls: Counter::default(),
             log_failures: Counter::default(),
+            record_requests: Counter::default(),
             orders: Counter::default(),
             connections: Counter::default(),
             route_requests: Family::default(),
@@ -271,6 +274,11 @@
                 "Calls to the log without an answer",
                 &self.log_failures,
             ),
+            (
+                "record_requests",
+                "Requests of other daemons for records that they missed",
+                &self.record_requests,
+            ),
             ("orders", "Grants and releases sent", &self.orders),
             (
                 "target_connections",
--- a/src/gateway/executor.rs
+++ b/src/gateway/executor.rs
@@ -131,6 +131,9 @@
             peers::Message::Relayed(relayed) => {
                 return shared.relay.borrow_mut().on_relayed(relayed);
             }
+            peers::Message::Compressed(bytes) => {
+                return shared.relay.borrow_mut().on_compressed(&bytes);
+            }
             peers::Message::Progress(host, progress) => {
                 if shared.defers_to(&host) {
                     let answering = progress.answering;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -168,6 +168,9 @@
     /// A message of its own, since older daemons skip only whole messages.
     #[serde(rename = "v")]
     Views(model::HostName, view::Announcement),
+    /// Compressed records of the log that the sender read for its failure domain.
+    #[serde(rename = "z")]
+    Compressed(serde_bytes::ByteBuf),
 }
 
 /// A known daemon.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -274,6 +274,15 @@
         }
     }
 
+    /// Hands compressed records to the task that follows their topic. Records that can't
+    /// be decoded are noticed as missing with the next progress message.
+    pub(crate) fn on_compressed(&mut self, bytes: &[u8]) {
+        match exchange::decode(bytes) {
+            Ok(relayed) => self.on_relayed(relayed),
+            Err(error) => log::debug!("skipped compressed records: {error}"),
+        }
+    }
+
     /// Records a progress message of the reader.
     ///
     /// Progress messages may arrive out of order, or from a second reader that lags, so
@@ -469,19 +478,38 @@
     // Entries that only renew a target are not among the records, and hosts' records
     // may come late.
     let urgent = topic != Topic::Hosts && !records.is_empty();
-    match encode_datagrams(topic, from, next, end, records) {
+    match encode_datagrams(topic, from, next, end, records.clone()) {
         Some(datagrams) => datagrams
             .iter()
             .for_each(|datagram| peers::send_to_domain(shared, datagram)),
-        // A record is too long for a datagram: the others ask for it when they learn the
-        // progress.
-        None => send_progress(shared),
+        // A record is too long for a datagram. If it is too long even when compressed, the
+        // others ask for it when they learn the progress.
+        None => {
+            let message = encode_compressed(topic, from, next, end, records);
+            message.inspect(|message| peers::send_to_domain(shared, message));
+            send_progress(shared);
+        }
     }
     if urgent {
         repeat_progress(shared);
     }
 }
 
+/// Encodes the records in one compressed datagram; returns `None` if they do not fit.
+fn encode_compressed(
+    topic: Topic,
+    from: model::Offset,
+    next: model::Offset,
+    end: model::Offset,
+    records: Vec<adapter::Record>,
+) -> Option<Vec<u8>> {
+    let relayed = Relayed::new(topic, from, next, end, records);
+    let bytes = exchange::encode(&relayed).ok()?;
+    let bytes = serde_bytes::ByteBuf::from(bytes.to_vec());
+    let message = peers::encode(&peers::Message::Compressed(bytes));
+    (message.len() <= MAX_DATAGRAM_BYTES).then_some(message)
+}
+
 /// Encodes the records in as few datagrams as halving yields; returns `None` if a record
 /// does not fit into one.
 fn encode_datagrams(
--- a/src/gateway/relay/exchange.rs
+++ b/src/gateway/relay/exchange.rs
@@ -18,6 +18,7 @@
 use crate::clock;
 use crate::gateway::adapter::{self, Topic};
 use crate::gateway::client;
+use crate::gateway::counters;
 use crate::gateway::shared::Shared;
 use crate::model;
 
@@ -69,7 +70,7 @@
 }
 
 /// Encodes and compresses a batch of records.
-fn encode(relayed: &Relayed) -> io::Result<Bytes> {
+pub(super) fn encode(relayed: &Relayed) -> io::Result<Bytes> {
     let plain = rmp_serde::to_vec(relayed).map_err(io::Error::other)?;
     let mut body = Vec::new();
     DeflateEncoder::new(&plain[..], Compression::fast()).read_to_end(&mut body)?;
@@ -77,7 +78,7 @@
 }
 
 /// Decompresses and decodes a batch of records.
-fn decode(body: &[u8]) -> io::Result<Relayed> {
+pub(super) fn decode(body: &[u8]) -> io::Result<Relayed> {
     let reader = DeflateDecoder::new(body).take(MAX_ANSWER_BYTES);
     rmp_serde::from_read(reader).map_err(io::Error::other)
 }
@@ -109,6 +110,7 @@
 /// Returns the response to a request for `path`: 400 if the path is invalid, 404 if
 /// records may be missing here.
 fn respond(shared: &Shared, path: &str) -> http::Response<Full<Bytes>> {
+    counters::increment(&shared.counters.record_requests);
     let requested = parse_path(path);
     let body = requested.and_then(|(topic, from)| records(shared, topic, from));
     let status = match (requested, &body) {
