--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -3,9 +3,9 @@
 //! Calls to the log have a price and a common limit. The reader reads all topics and
 //! passes records on by datagram. After each of its reads of the targets it sends a
 //! progress message with the offsets up to which it has read, by which the others
-//! detect missed records, and that it still reads. A daemon that receives no progress
-//! message within a timeout makes its own calls and passes their records on. Of several
-//! readers, the coordinator continues, or else the first by name whose calls are answered.
+//! detect missed records, and announces the ages of its views. A daemon to which no
+//! recent read is announced makes its own calls and passes their records on. Of several
+//! readers, the coordinator continues, or else the first by name whose reads are recent.
 //! A daemon that missed records asks the reader for them, and reads the log if the
 //! reader does not have them.
 
