Read operators' records by the age of the reader's reads of them

Cause: a daemon relied on its reader for all topics as long as the reader's reads of the targets were answered.

A daemon to which no answered read of operators' records was announced for 70% of the time for a configuration reads them itself and passes them on. That time is a setting now, bounds.configure, filled in from the platform's bound; the waits of these reads follow from it (a quarter, with a second read 20% later) instead of constants that only fit a bound of 2 s or more.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -30,17 +30,21 @@
 /// Time for which a read of the hosts' topic waits for a record.
 const HOSTS_WAIT_MS: u64 = 10_000;
 
-/// Time for which a read of operators' records waits for a record. A waiting read may
-/// miss a record while the log drops old ones, so that this bounds the delay of a
-/// configuration.
-const OPERATOR_WAIT_MS: u64 = 1_000;
+/// Time for which a read of operators' records waits for a record, in percent of the time
+/// within which a configuration must be in effect. A waiting read may miss a record while
+/// the log drops old ones, so that this bounds the delay of a configuration.
+const OPERATOR_WAIT_PERCENT: u64 = 25;
+
+/// Time after the end of its wait from which on the answer to a read of operators' records
+/// counts as late, in percent of the same time.
+const OPERATOR_LATE_PERCENT: u64 = 20;
 
 /// Timeout for the head of an answer of the log, in addition to the time that a read
 /// waits, and for each further part of the answer.
 const ANSWER_TIMEOUT_MS: u64 = 1_000;
 
-/// Time after the end of its wait from which on the answer to a waiting read counts as
-/// late: its connection may have gone silent, and a second read begins on another one.
+/// Time after the end of its wait from which on the answer to another waiting read counts
+/// as late: its connection may have gone silent, and a second read begins on another one.
 const LATE_ANSWER_MS: u64 = 400;
 
 /// Timeout for the head of an answer to a read of the targets. On a saturated link an
@@ -155,13 +159,14 @@
 
 /// Reads records from an offset on and waits up to `wait` milliseconds for one. If the
 /// log returns from an outage meanwhile, reads again without waiting: a call that
-/// began before the return may never be answered. If the answer is late, a second read
-/// begins on a new connection, and the first answer counts.
+/// began before the return may never be answered. If the answer is `late` milliseconds
+/// late, a second read begins on a new connection, and the first answer counts.
 async fn wait_for(
     shared: &Shared,
     topic: Topic,
     from: model::Offset,
     wait: u64,
+    late: u64,
 ) -> Result<adapter::Batch, CallError> {
     if wait == 0 {
         return read(shared, topic, from, 0).await;
@@ -171,7 +176,7 @@
         biased;
         batch = first.as_mut() => return batch,
         _ = shared.log_restored.notified() => return read(shared, topic, from, 0).await,
-        _ = tokio::time::sleep(Duration::from_millis(wait + LATE_ANSWER_MS)) => {}
+        _ = tokio::time::sleep(Duration::from_millis(wait + late)) => {}
     }
     shared.client.close_idle(log_peer(shared));
     let mut second = std::pin::pin!(read(shared, topic, from, 0));
@@ -253,6 +258,15 @@
 }
 
 impl Plan {
+    /// Returns the time after the end of its wait from which on the answer to a read is
+    /// late, in milliseconds.
+    fn late(&self) -> u64 {
+        match self.topic {
+            Topic::Operator => self.wait * OPERATOR_LATE_PERCENT / OPERATOR_WAIT_PERCENT,
+            _ => LATE_ANSWER_MS,
+        }
+    }
+
     /// Returns the pause after a read that began at `started`, in milliseconds.
     ///
     /// The time of a slow read is subtracted, so that it does not delay the next one
@@ -296,7 +310,7 @@
                 reads.cancel();
                 read_all(&shared, &plan, &mut position, &mut handler).await
             }
-            Some(offset) if shared.has_reader() => {
+            Some(offset) if shared.has_reader_of(plan.topic) => {
                 reads.cancel();
                 let received = relay::receive(&shared, &plan, &mut inbox, offset).await;
                 apply_received(&shared, &plan, &mut position, received, &mut handler).await
@@ -423,7 +437,7 @@
         return 0;
     };
     let started = clock::now();
-    match wait_for(shared, plan.topic, offset, wait).await {
+    match wait_for(shared, plan.topic, offset, wait, plan.late()).await {
         Ok(batch) => {
             on_batch(shared, plan, position, batch, started, handler);
             plan.pause(started)
@@ -596,7 +610,9 @@
         wait,
         interval_ms,
     };
-    let operator_plan = plan(Topic::Operator, OPERATOR_WAIT_MS, 0);
+    let configure = shared.settings.bounds.configure.0;
+    let operator_wait = configure * OPERATOR_WAIT_PERCENT / 100;
+    let operator_plan = plan(Topic::Operator, operator_wait, 0);
     tokio::task::spawn_local(follow(Rc::clone(shared), operator_plan, operator));
     let targets_plan = plan(Topic::Targets, 0, targets_interval(&shared.settings));
     tokio::task::spawn_local(follow(Rc::clone(shared), targets_plan, targets));
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -42,6 +42,11 @@
 /// Largest datagram that is sent.
 const MAX_DATAGRAM_BYTES: usize = 8_000;
 
+/// Time since the reader's last answered read of operators' records from which on a daemon
+/// reads them itself, in percent of the time within which a configuration must be in
+/// effect.
+const OPERATOR_SILENCE_PERCENT: u64 = 70;
+
 /// Time between the first calls of daemons whose reader has timed out: the answer to
 /// the first one makes the calls of the others unnecessary.
 const STAGGER_MS: u64 = 50;
@@ -190,6 +195,8 @@
     own_read: Option<CompletedRead>,
     /// Last completed read of the targets that the reader announced.
     announced_read: Option<CompletedRead>,
+    /// Time at which the log last answered a read of operators' records by the reader.
+    operators_answered: Option<clock::Millis>,
     /// Newest records, by topic.
     caches: [TopicCache; 4],
     /// Last encoded responses to other daemons, by topic.
@@ -231,6 +238,9 @@
             let started = now - age;
             self.announced_read = Some(CompletedRead { at: now, started });
         }
+        if let Some(age) = announcement.answered[Topic::Operator.index()] {
+            self.operators_answered = Some(now - age);
+        }
     }
 
     /// Returns whether this daemon's own reads are recent.
@@ -319,15 +329,21 @@
 }
 
 impl Shared {
-    /// Returns how recent the reader's reads have to be for this daemon to make no calls
-    /// of its own.
-    fn read_limits(&self) -> ReadLimits {
+    /// Returns the time by which this daemon's first own call follows that of the first
+    /// daemon of its failure domain, in milliseconds.
+    fn stagger(&self) -> u64 {
         let settings = &self.settings;
         let near = |domain: &model::DomainName| *domain == settings.domain;
         let peers = self.peers.borrow();
         let rank = peers.rank(&settings.host, &settings.domain, clock::now(), near);
-        let delay = STAGGER_MS * u64::from(rank.min(MAX_STAGGER_RANK));
-        let drain = settings.bounds.drain.0;
+        STAGGER_MS * u64::from(rank.min(MAX_STAGGER_RANK))
+    }
+
+    /// Returns how recent the reader's reads have to be for this daemon to make no calls
+    /// of its own.
+    fn read_limits(&self) -> ReadLimits {
+        let delay = self.stagger();
+        let drain = self.settings.bounds.drain.0;
         ReadLimits {
             silence: drain * SILENCE_PERCENT / 100 + delay,
             age: drain * MAX_VIEW_PERCENT / 100 + delay,
@@ -344,6 +360,18 @@
         !self.is_coordinator() && has_reader()
     }
 
+    /// Returns whether another daemon reads a topic for this one. The reader's reads of
+    /// operators' records may stay unanswered while those of the targets are answered.
+    pub(crate) fn has_reader_of(&self, topic: Topic) -> bool {
+        if topic != Topic::Operator {
+            return self.has_reader();
+        }
+        let configure = self.settings.bounds.configure.0;
+        let limit = configure * OPERATOR_SILENCE_PERCENT / 100 + self.stagger();
+        let answered = self.relay.borrow().operators_answered;
+        answered.is_some_and(|at| clock::now().since(at) < limit) && self.has_reader()
+    }
+
     fn is_coordinator(&self) -> bool {
         let table = self.table.borrow();
         let coordinator = table.as_ref().map(|(_, table)| table.incarnation);
@@ -472,7 +500,7 @@
     end: model::Offset,
     records: Vec<adapter::Record>,
 ) {
-    if next == from || shared.stopping.get() || shared.has_reader() {
+    if next == from || shared.stopping.get() || shared.has_reader_of(topic) {
         return;
     }
     // Entries that only renew a target are not among the records, and hosts' records
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -67,6 +67,8 @@
 pub struct Bounds {
     /// Time after which a draining target gets no new requests.
     pub drain: Time,
+    /// Time after which a configuration must be in effect.
+    pub configure: Time,
     /// Longest time from a stop signal to the end of the process.
     pub grace: Time,
     /// Retries allowed across all daemons, as a share of a service's requests.
@@ -87,6 +89,7 @@
     fn default() -> Self {
         Self {
             drain: Time(2_000),
+            configure: Time(2_000),
             grace: Time(6_000),
             retry_share: 0.2,
             retry_extra: 20.0,
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -21,6 +21,9 @@
     /// Offset up to which the reader knows each topic, and the age of that view in
     /// milliseconds.
     pub views: [Option<(model::Offset, u64)>; Topic::ALL.len()],
+    /// Time since the log last answered a read of each topic by the reader, in
+    /// milliseconds.
+    pub answered: [Option<u64>; Topic::ALL.len()],
 }
 
 /// Announced view whose records may still be missing here.
@@ -38,6 +41,8 @@
     next: Option<model::Offset>,
     /// Time up to which all records are known.
     until: Option<clock::Millis>,
+    /// Time of the last answer to an own read.
+    answered: Option<clock::Millis>,
     pending: VecDeque<Pending>,
 }
 
@@ -110,6 +115,7 @@
     ) -> Option<Renewal> {
         let view = &mut self.views[topic.index()];
         view.next = view.next.max(Some(next));
+        view.answered = Some(now);
         let renewal = view.renew(started, 0, now);
         view.settle(now).or(renewal)
     }
@@ -156,6 +162,10 @@
             let view = &self.views[topic.index()];
             Some((view.next?, self.age(topic, now)?))
         });
-        Announcement { views }
+        let answered = Topic::ALL.map(|topic| {
+            let answered = self.views[topic.index()].answered;
+            answered.map(|at| now.since(at))
+        });
+        Announcement { views, answered }
     }
 }
--- a/tests/gateway_relay.rs
+++ b/tests/gateway_relay.rs
@@ -140,7 +140,8 @@
 fn announcement(age: u64) -> Announcement {
     let mut views = [None; Topic::ALL.len()];
     views[Topic::Targets.index()] = Some((Offset(4), age));
-    Announcement { views }
+    let answered = [None; Topic::ALL.len()];
+    Announcement { views, answered }
 }
 
 /// Guards against daemons that never make their own calls after the reader has stopped, and
--- a/tests/gateway_view.rs
+++ b/tests/gateway_view.rs
@@ -11,7 +11,8 @@
 fn announce(next: u64, age: u64) -> Announcement {
     let mut views = [None; Topic::ALL.len()];
     views[Topic::Targets.index()] = Some((Offset(next), age));
-    Announcement { views }
+    let answered = [None; Topic::ALL.len()];
+    Announcement { views, answered }
 }
 
 /// Guards against a view that counts as current from the end of a slow read: records
@@ -87,5 +88,7 @@
 fn announcement_own_view() {
     let mut views = Views::default();
     views.on_read(Topic::Targets, Offset(9), START, START + 20);
-    assert_eq!(views.announcement(START + 120), announce(9, 120));
+    let mut expected = announce(9, 120);
+    expected.answered[Topic::Targets.index()] = Some(100);
+    assert_eq!(views.announcement(START + 120), expected);
 }
