Wait for leases by lost records after the log was restored

What callers saw: two targets held the same keys and both worked on them (OWNER), after the log had come back from a copy some seconds old and the coordinator was lost.

Cause: a number was compared across a history that had been replaced. Offsets, and fences made of them, are given out again by a restored log; the next coordinator took the copy's table for the newest one and granted keys to the owners that it names, while leases by the lost records ran.

A read whose position is of an earlier era starts again from the newest records. A record of an earlier era makes nobody the coordinator. Runs with a fence of an earlier era get neither grants nor moves until all leases by earlier coordinators have ended, and then a fence of the present era; the table of a log that is empty after a restore begins empty for the same reason. The key of a table's record names the era in which it was decided on, since the condition of an append compares numbers only.

Why it works: a lease can last at most until the end of the authority of the coordinator that gave it and the longest hold after it; the term of the new coordinator begins after the restore, and waits for both.

--- a/src/gateway/adapter.rs
+++ b/src/gateway/adapter.rs
@@ -88,11 +88,17 @@
 }
 
 /// Reason why the log returned no records.
+///
+/// All offsets in answers of the log carry the era that the log states in the same answer.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum ReadError {
     /// The log no longer keeps the records before this offset, some of which were requested.
     #[error("records before offset {0} are no longer kept")]
     Trimmed(model::Offset),
+    /// The log was restored from an older copy since the offset of the read was given out;
+    /// this is its present era.
+    #[error("the log was restored from a copy; its era is {0}")]
+    Restored(u64),
     /// The log refused the call with this status, and had no other effect.
     #[error("the log refused the call with status {0}")]
     Refused(u16),
@@ -101,6 +107,14 @@
     Malformed(finding::Finding),
 }
 
+impl ReadError {
+    /// Returns whether the log can't be read on from the position of the read, so that the
+    /// newest records have to be read.
+    pub fn is_position_lost(&self) -> bool {
+        matches!(self, Self::Trimmed(_) | Self::Restored(_))
+    }
+}
+
 /// Outcome of an append that was answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AppendOutcome {
--- a/src/gateway/coordinator.rs
+++ b/src/gateway/coordinator.rs
@@ -217,6 +217,11 @@
     last_read: Option<clock::Millis>,
     /// A newer record than the known one exists.
     outdated: bool,
+    /// This daemon was the coordinator when the log was restored, so that no other daemon
+    /// has to be waited for.
+    reclaiming: bool,
+    /// The known table has runs that may not be granted yet.
+    unverified: bool,
     /// Earliest time of the next read and of the next append.
     retry_at: clock::Millis,
 }
@@ -421,10 +426,11 @@
     /// Handles a read, started at `started`, that showed a topic without records.
     pub fn on_empty_topic(
         &mut self,
-        _now: clock::Millis,
+        now: clock::Millis,
         started: clock::Millis,
         end: model::Offset,
     ) {
+        self.on_end(now, end);
         self.on_read_answered(started);
         if self.log.offset.is_none() {
             self.log.end = self.log.end.max(Some(end));
@@ -432,7 +438,8 @@
     }
 
     /// Handles a read, started at `started`, whose newest record has the offset
-    /// `offset`. `table` is `None` if the record can't be decoded.
+    /// `offset`, in the era in which it was decided on. `table` is `None` if the record
+    /// can't be decoded.
     pub fn on_record(
         &mut self,
         now: clock::Millis,
@@ -441,20 +448,18 @@
         end: model::Offset,
         table: Option<keys::Table>,
     ) {
+        let is_present = self.on_end(now, end);
         self.on_read_answered(started);
-        self.adopt(now, started, offset, end, table);
+        if is_present {
+            self.adopt(now, started, offset, end, table);
+        }
     }
 
     /// Handles a read, started at `started`, that showed no record after the known one.
-    pub fn on_confirmed(&mut self, started: clock::Millis, end: model::Offset) {
+    pub fn on_confirmed(&mut self, now: clock::Millis, started: clock::Millis, end: model::Offset) {
+        self.on_end(now, end);
         self.on_read_answered(started);
-        if self.log.end.is_some_and(|known| known <= end) {
-            self.log.end = Some(end);
-            self.log.confirmed = self.log.confirmed.max(Some(started));
-            if self.log.reread_from.is_none() {
-                self.log.outdated = self.peer.offset > self.log.offset;
-            }
-        }
+        self.confirm(started, end);
     }
 
     /// Handles a read that was not answered, or that the log refused.
@@ -475,16 +480,23 @@
             return;
         };
         match answer {
-            Some(adapter::AppendOutcome::Written(offset)) if offset == pending.end => {
+            Some(adapter::AppendOutcome::Written(offset))
+                if offset == pending.end && offset.era() == self.era() =>
+            {
                 let end = offset.next();
                 self.adopt(now, pending.started, offset, end, Some(pending.table));
             }
             Some(adapter::AppendOutcome::Refused(_)) => self.log.retry_at = now + LOG_RETRY_MS,
-            Some(adapter::AppendOutcome::Conflict(_)) => {
+            Some(adapter::AppendOutcome::Conflict(end)) => {
+                self.on_end(now, end);
                 self.log.outdated = true;
                 self.log.reread_from = Some(now);
             }
-            Some(adapter::AppendOutcome::Written(_) | adapter::AppendOutcome::Unknown) | None => {
+            Some(adapter::AppendOutcome::Written(offset)) => {
+                self.on_end(now, offset.next());
+                self.log.reread_from = Some(now);
+            }
+            Some(adapter::AppendOutcome::Unknown) | None => {
                 self.log.reread_from = Some(now);
             }
         }
@@ -501,6 +513,11 @@
         confirmed_age: Option<u64>,
     ) {
         let own = from == self.host && incarnation == self.incarnation;
+        if !own && offset.era() < self.era() {
+            // Its record may be lost, but it takes over by itself when it can read the log.
+            self.peer.last_heartbeat = now;
+            return;
+        }
         if own || self.peer.offset.max(self.log.offset) > Some(offset) {
             return;
         }
@@ -606,7 +623,9 @@
                 self.cleanup,
                 outage,
             ];
-            let upcoming = times.into_iter().flatten().filter(|at| *at > now);
+            let verification = self.log.unverified.then(|| self.earlier_until());
+            let times = times.into_iter().chain([verification]);
+            let upcoming = times.flatten().filter(|at| *at > now);
             wake = upcoming.fold(wake, Ord::min);
         } else {
             let takeover = self.takeover_at();
--- a/src/gateway/coordinator/acknowledgements.rs
+++ b/src/gateway/coordinator/acknowledgements.rs
@@ -168,6 +168,7 @@
     /// returns true, unless a newer record is known or this daemon has just started.
     pub fn acknowledge(&mut self, now: clock::Millis, offset: model::Offset) -> bool {
         let newest = self.log.offset.max(self.peer.offset) <= Some(offset);
+        let newest = newest && offset.era() >= self.era();
         let allowed = newest && self.acknowledgements.may_acknowledge(now);
         if allowed {
             self.acknowledgements.acknowledge(now);
--- a/src/gateway/coordinator/orders.rs
+++ b/src/gateway/coordinator/orders.rs
@@ -173,6 +173,20 @@
         own.max(self.earlier_until())
     }
 
+    /// Returns until when targets other than the run's owner may hold its keys through
+    /// grants of this daemon.
+    pub(super) fn others_until(
+        &self,
+        service: &model::ServiceName,
+        run: &keys::Run,
+    ) -> clock::Millis {
+        let leases = self.lease_ends.iter().filter(|((of, by, leased), _)| {
+            let overlap = leased.first <= run.range.last && run.range.first <= leased.last;
+            of == service && Some(by) != run.owner.as_ref() && overlap
+        });
+        leases.map(|(_, until)| *until).max().unwrap_or_default()
+    }
+
     /// Returns until when extended leases of earlier coordinators may last.
     fn extended_until(&self) -> clock::Millis {
         let worst = self.earlier_leases.unwrap_or_default();
@@ -290,6 +304,9 @@
         run: &keys::Run,
         extended: bool,
     ) -> Option<super::Action> {
+        if self.is_unverified(run) {
+            return None;
+        }
         let id = (service.clone(), run.range, run.fence);
         let mut order = self.orders.get(&id)?.clone();
         let free = match (&run.previous_owner, order.released) {
--- a/src/gateway/coordinator/revise.rs
+++ b/src/gateway/coordinator/revise.rs
@@ -14,7 +14,8 @@
         }
         let batch = now >= self.next_batch;
         let cleanup = self.cleanup.is_some_and(|at| now >= at);
-        if !(batch || cleanup || self.dirty) {
+        let verify = self.log.unverified && now >= self.earlier_until();
+        if !(batch || cleanup || verify || self.dirty) {
             return None;
         }
         let mut table = self.log.table.clone()?;
@@ -35,6 +36,7 @@
             let runs = table.services.entry(service.clone());
             let runs = runs.or_insert_with(|| vec![keys::Run::unowned()]);
             self.clear_priors(service, runs);
+            urgent |= self.verify(now, service, runs, fence);
             urgent |= self.renew_fences(now, service, runs, fence);
             let moves = self.plan_moves(now, service, runs, batch);
             urgent |= !moves.is_empty();
@@ -55,6 +57,29 @@
         urgent
     }
 
+    /// Gives runs of earlier eras of the log a fence of the present one, once no other target
+    /// can hold their keys through leases by lost records. Returns whether a run changed.
+    fn verify(
+        &self,
+        now: clock::Millis,
+        service: &model::ServiceName,
+        runs: &mut [keys::Run],
+        fence: u64,
+    ) -> bool {
+        if now < self.earlier_until() {
+            return false;
+        }
+        let mut changed = false;
+        for run in runs.iter_mut().filter(|run| self.is_unverified(run)) {
+            if now >= self.others_until(service, run) {
+                run.fence = fence;
+                run.previous_owner = None;
+                changed = true;
+            }
+        }
+        changed
+    }
+
     /// Gives neighbouring runs of one owner the same fence, so that they merge. Runs
     /// with an order in flight are not changed.
     fn unify_fences(
@@ -68,6 +93,7 @@
             let order = self.orders.get(&(service.clone(), run.range, run.fence));
             let owner = run.owner.as_ref();
             run.previous_owner.is_none()
+                && !self.is_unverified(run)
                 && order.is_some_and(|order| order.call.is_none())
                 && owner.is_some_and(|owner| {
                     matches!(
@@ -121,7 +147,9 @@
         fence: u64,
     ) -> bool {
         let mut changed = false;
-        for run in runs.iter_mut().filter(|run| run.previous_owner.is_none()) {
+        let settled =
+            |run: &&mut keys::Run| run.previous_owner.is_none() && !self.is_unverified(run);
+        for run in runs.iter_mut().filter(settled) {
             let Some(owner) = &run.owner else {
                 continue;
             };
@@ -194,6 +222,9 @@
         run: &keys::Run,
         batch: bool,
     ) -> plan::Mobility {
+        if self.is_unverified(run) {
+            return plan::Mobility::Forbidden;
+        }
         let Some(owner) = &run.owner else {
             return plan::Mobility::Required;
         };
--- a/src/gateway/coordinator/takeover.rs
+++ b/src/gateway/coordinator/takeover.rs
@@ -22,6 +22,67 @@
         }
     }
 
+    /// Returns the era of the log, as far as this daemon knows it.
+    pub(super) fn era(&self) -> u64 {
+        self.log.end.map_or(0, model::Offset::era)
+    }
+
+    /// Handles the end of the topic in an answer of the log. Returns false if the answer is
+    /// older than the last restore of the log.
+    pub(super) fn on_end(&mut self, now: clock::Millis, end: model::Offset) -> bool {
+        if self.log.end.is_some_and(|known| known.era() < end.era()) {
+            self.on_restored(now, end);
+        }
+        end.era() >= self.era()
+    }
+
+    /// Forgets what the log held before it was restored from an older copy. No record makes a
+    /// daemon the coordinator any longer, since the restored log may lack newer ones.
+    fn on_restored(&mut self, now: clock::Millis, end: model::Offset) {
+        self.log.reclaiming = self.is_coordinator() || self.log.reclaiming;
+        self.log.offset = None;
+        self.log.table = None;
+        self.log.end = Some(end);
+        self.log.confirmed = None;
+        self.log.outdated = false;
+        self.log.reread_from = Some(now);
+        self.earlier_leases = None;
+        self.orders.clear();
+        self.failures.clear();
+        self.moved.clear();
+    }
+
+    /// Returns the offset of the newest record that other daemons claim, unless the log was
+    /// restored since.
+    pub(super) fn announced(&self) -> Option<model::Offset> {
+        self.peer.offset.filter(|offset| offset.era() >= self.era())
+    }
+
+    /// Returns the offset from which to read the topic on, or `None` to read the newest
+    /// record.
+    pub fn read_offset(&self) -> Option<model::Offset> {
+        let offset = self.log.offset?.next();
+        Some(offset.in_era(self.era()))
+    }
+
+    /// Returns whether the run's owner may differ from the one in a record that a restore of
+    /// the log has lost. Its keys are not granted until all leases by such records have ended.
+    pub(super) fn is_unverified(&self, run: &keys::Run) -> bool {
+        run.era() < self.era()
+    }
+
+    /// Records that a read which began at `started` showed no newer record than the known
+    /// one, and that the topic ends at `end`.
+    pub(super) fn confirm(&mut self, started: clock::Millis, end: model::Offset) {
+        if self.log.end.is_some_and(|known| known <= end) {
+            self.log.end = Some(end);
+            self.log.confirmed = self.log.confirmed.max(Some(started));
+            if self.log.reread_from.is_none() {
+                self.log.outdated = self.announced() > self.log.offset;
+            }
+        }
+    }
+
     /// Makes the record at `offset` the newest known one, unless a newer one is known.
     pub(super) fn adopt(
         &mut self,
@@ -32,10 +93,11 @@
         table: Option<keys::Table>,
     ) {
         if self.log.offset > Some(offset) {
-            return;
+            // A record whose append came too late stands after the newest one.
+            return self.confirm(started, end);
         }
         self.log.end = self.log.end.max(Some(end));
-        let newer_announced = self.peer.offset > Some(offset);
+        let newer_announced = self.announced() > Some(offset);
         // A failed append proved that a newer record exists, which this read did not show.
         let moved = self.log.outdated && self.log.reread_from.is_some();
         self.log.outdated = newer_announced || (moved && self.log.offset == Some(offset));
@@ -47,13 +109,21 @@
             .as_ref()
             .is_some_and(|table| table.host == self.host && table.incarnation == self.incarnation);
         let previous = (self.log.offset.replace(offset), self.log.table.is_some());
-        if !own {
+        if offset.era() == self.era() {
+            self.log.reclaiming = false;
+        }
+        if offset.era() < self.era() {
+            self.earlier_leases = None;
+        } else if !own {
             self.earlier_leases = None;
             self.peer.last_heartbeat = now;
             self.peer.confirmed = now;
             self.failures.clear();
         } else if self.earlier_leases.is_none() {
-            self.begin_term(now, previous.0.is_none(), previous.1);
+            // Leases by lost records may last even if a restored log has no record.
+            let first = previous.0.is_none() && offset.era() == 0;
+            let readable = previous.0.is_none() || previous.1;
+            self.begin_term(now, first, readable);
             self.term_offset = offset;
         }
         self.log.table = table;
@@ -91,11 +161,24 @@
             }
         }
         self.orders = orders;
+        self.log.unverified = self.has_unverified();
         self.next_order = now;
         self.dirty = true;
         self.cleanup = self.cleanup_at();
     }
 
+    /// Returns whether the known table has runs that are not verified, or lacks a service,
+    /// whose run is added unverified.
+    fn has_unverified(&self) -> bool {
+        let Some(table) = self.log.table.as_ref().filter(|_| self.era() > 0) else {
+            return false;
+        };
+        let mut runs = table.services.values().flatten();
+        let mut services = self.services.keys();
+        runs.any(|run| self.is_unverified(run))
+            || services.any(|service| !table.services.contains_key(service))
+    }
+
     /// Returns the time of the next read of the topic.
     pub(super) fn read_at(&self, now: clock::Millis) -> clock::Millis {
         let log = &self.log;
@@ -122,7 +205,7 @@
 
     /// Returns whether no record of the topic is known.
     fn is_topic_empty(&self) -> bool {
-        self.log.offset.is_none() && self.peer.offset.is_none()
+        self.log.offset.is_none() && self.announced().is_none()
     }
 
     /// Returns the time of the next read of a daemon that is not the coordinator. Reads
@@ -189,7 +272,7 @@
         let empty = self.is_topic_empty();
         let due = self.takeover_at();
         let verified = self.log.last_read.is_some_and(|last| last >= due) && !self.log.outdated;
-        let immediate = empty && self.rank == 0;
+        let immediate = (empty && self.rank == 0) || self.log.reclaiming;
         if !immediate && (now < due || !verified) {
             return None;
         }
@@ -197,7 +280,7 @@
         let mut table = known.unwrap_or_else(|| self.empty_table());
         table.host = self.host.clone();
         table.incarnation = self.incarnation;
-        if self.log.table.is_none() {
+        if self.log.table.is_none() && self.era() == 0 {
             self.revise(now, &mut table, false);
             let mut runs = table.services.values().flatten();
             runs.any(|run| run.owner.is_some()).then_some(table)
--- a/src/gateway/counters.rs
+++ b/src/gateway/counters.rs
@@ -93,6 +93,8 @@
     Conflict,
     /// The requested records are no longer retained.
     Trimmed,
+    /// The log was restored from an older copy.
+    Restored,
     /// The log returned an error status.
     Refused,
     /// The response can't be decoded.
@@ -107,6 +109,7 @@
             Self::Done => "done",
             Self::Conflict => "moved",
             Self::Trimmed => "trimmed",
+            Self::Restored => "restored",
             Self::Refused => "refused",
             Self::Malformed => "malformed",
             Self::NoResponse => "silent",
@@ -119,6 +122,7 @@
         match read {
             Ok(_) => Self::Done,
             Err(adapter::ReadError::Trimmed(_)) => Self::Trimmed,
+            Err(adapter::ReadError::Restored(_)) => Self::Restored,
             Err(adapter::ReadError::Refused(_)) => Self::Refused,
             Err(adapter::ReadError::Malformed(_)) => Self::Malformed,
         }
--- a/src/gateway/executor.rs
+++ b/src/gateway/executor.rs
@@ -19,9 +19,6 @@
 use crate::gateway::shared::Shared;
 use crate::model;
 
-/// Key of the table's record.
-const RECORD_KEY: &str = "table";
-
 /// Timeout of a grant.
 const GRANT_TIMEOUT_MS: u64 = 700;
 
@@ -239,8 +236,10 @@
     fn apply(&mut self, batch: adapter::Batch, source: feed::Source) -> Vec<adapter::Record> {
         let read = feed::last_table(&batch);
         self.on_read(read, source);
-        let last = batch.records.last().cloned();
-        last.into_iter().collect()
+        feed::newest_record(&batch.records)
+            .cloned()
+            .into_iter()
+            .collect()
     }
 }
 
@@ -287,7 +286,7 @@
         let mut machine = machine.borrow_mut();
         match read {
             TableRead::Empty(end) => machine.on_empty_topic(now, started, end),
-            TableRead::Unchanged(end) => machine.on_confirmed(started, end),
+            TableRead::Unchanged(end) => machine.on_confirmed(now, started, end),
             TableRead::Record(offset, end, table) => {
                 machine.on_record(now, started, offset, end, table);
             }
@@ -426,7 +425,7 @@
         coordinator::Action::Append { table, end } => append(&shared, &machine, &table, end).await,
         coordinator::Action::Read => {
             let started = clock::now();
-            let from = known_end(&machine);
+            let from = machine.borrow().read_offset();
             match feed::read_table(&shared, from, 0).await {
                 Ok(read) => on_table_read(&shared, &machine, started, read),
                 Err(_) => machine.borrow_mut().on_read_failed(clock::now()),
@@ -454,15 +453,12 @@
     shared.wake_coordinator.notify_one();
 }
 
-fn known_end(machine: &Coordinator) -> Option<model::Offset> {
-    machine.borrow().offset().map(model::Offset::next)
-}
-
 /// Appends an encoded table to the log if the topic ends at `end`.
 async fn append(shared: &Shared, machine: &Coordinator, table: &[u8], end: model::Offset) {
+    let key = keys::record_key(end.era());
     let request = shared
         .adapter
-        .build_append(Topic::Table, RECORD_KEY, table, Some(end));
+        .build_append(Topic::Table, &key, table, Some(end));
     let answer = feed::call(shared, Topic::Table, request, APPEND_TIMEOUT_MS).await;
     let appended = answer
         .ok()
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -219,6 +219,10 @@
         // Later pages may miss records written after the first one, so that reading
         // goes on from the end that the first page named.
         let end = *end.get_or_insert(page.end);
+        if page.end.era() != end.era() {
+            // Pages of two eras don't belong together.
+            return Err(adapter::ReadError::Restored(page.end.era()).into());
+        }
         match page.after {
             Some(key) => after = Some(key),
             None => return Ok((records, end)),
@@ -420,6 +424,7 @@
             }
             plan.pause(started)
         }
+        Err(CallError::Answer(adapter::ReadError::Restored(_))) => 0,
         Err(error) => on_failure(shared, plan, position, &error, handler),
     }
 }
@@ -442,8 +447,8 @@
             on_batch(shared, plan, position, batch, started, handler);
             plan.pause(started)
         }
-        Err(CallError::Answer(adapter::ReadError::Trimmed(first))) => {
-            on_trimmed(plan, position, first);
+        Err(CallError::Answer(error)) if error.is_position_lost() => {
+            on_position_lost(plan, position, &error);
             0
         }
         Err(error) => on_failure(shared, plan, position, &error, handler),
@@ -464,18 +469,26 @@
             on_batch(shared, plan, position, batch, completed.started, handler);
             None
         }
-        Err(CallError::Answer(adapter::ReadError::Trimmed(first))) => {
-            on_trimmed(plan, position, first);
+        Err(CallError::Answer(error)) if error.is_position_lost() => {
+            on_position_lost(plan, position, &error);
             None
         }
         Err(error) => Some(on_failure(shared, plan, position, &error, handler)),
     }
 }
 
-/// Continues with the newest records, since the log no longer keeps the next ones.
-fn on_trimmed(plan: &Plan, position: &mut Position, first: model::Offset) {
-    let topic = plan.topic;
-    log::info!("records of {topic:?} before offset {first} are gone; reading the newest");
+/// Continues with the newest records, since the log can't be read on from the position.
+fn on_position_lost(plan: &Plan, position: &mut Position, error: &adapter::ReadError) {
+    if let (adapter::ReadError::Restored(era), Some(from)) = (error, position.from)
+        && from.era() >= *era
+    {
+        // Another read has shown this era already.
+        return;
+    }
+    log::info!(
+        "{}: {error}; reading the newest records",
+        plan.topic.label()
+    );
     position.from = None;
 }
 
@@ -492,6 +505,10 @@
     let Some(from) = position.from else {
         return;
     };
+    if batch.next.era() < from.era() {
+        // The read ended before the log was restored.
+        return;
+    }
     let (end, is_complete) = (batch.end, batch.next >= batch.end);
     batch.records.retain(|record| record.offset >= from);
     batch.next = batch.next.max(from);
@@ -650,8 +667,8 @@
 pub(crate) enum TableRead {
     /// The topic, which ends at this offset, has no record.
     Empty(model::Offset),
-    /// Offset of the newest record, end of the topic, and the table unless the record
-    /// can't be decoded.
+    /// Offset of the newest record in the era in which it was decided on, end of the topic,
+    /// and the table unless the record can't be decoded.
     Record(model::Offset, model::Offset, Option<keys::Table>),
     /// No record follows the known ones; the topic ends at this offset.
     Unchanged(model::Offset),
@@ -674,7 +691,7 @@
         return newest_table(shared).await;
     };
     let batch = match read(shared, Topic::Table, from, wait).await {
-        Err(CallError::Answer(adapter::ReadError::Trimmed(_))) => {
+        Err(CallError::Answer(error)) if error.is_position_lost() => {
             return newest_table(shared).await;
         }
         batch => batch?,
@@ -682,18 +699,32 @@
     Ok(last_table(&batch))
 }
 
+/// Returns the newest of some records of the key table, by the era in which each was
+/// decided on.
+pub(crate) fn newest_record(records: &[adapter::Record]) -> Option<&adapter::Record> {
+    records
+        .iter()
+        .max_by_key(|record| (keys::record_offset(record), record.offset))
+}
+
 /// Returns the last key table of a batch of records.
 pub(crate) fn last_table(batch: &adapter::Batch) -> TableRead {
-    match batch.records.last() {
-        Some(record) => TableRead::Record(record.offset, batch.end, decode_table(record)),
+    match newest_record(&batch.records) {
+        Some(record) => {
+            let offset = keys::record_offset(record);
+            TableRead::Record(offset, batch.end, decode_table(record))
+        }
         None => TableRead::Unchanged(batch.end),
     }
 }
 
 /// Returns the key table of the newest records of its topic.
 pub(crate) fn newest_table_of(records: &[adapter::Record], end: model::Offset) -> TableRead {
-    match records.last() {
-        Some(record) => TableRead::Record(record.offset, end, decode_table(record)),
+    match newest_record(records) {
+        Some(record) => {
+            let offset = keys::record_offset(record);
+            TableRead::Record(offset, end, decode_table(record))
+        }
         None => TableRead::Empty(end),
     }
 }
--- a/src/gateway/keys.rs
+++ b/src/gateway/keys.rs
@@ -11,6 +11,26 @@
 /// Number of keys per bucket, the unit by which load is counted and runs are split.
 pub const BUCKET_KEYS: u16 = 16;
 
+/// Prefix of the keys of the table's records in the log; the era follows.
+const RECORD_KEY_PREFIX: &str = "table.";
+
+/// Returns the key of a record that a daemon appends while it knows the log to be in `era`.
+///
+/// The condition of an append compares numbers only, so that an append that was decided
+/// before the log was restored may succeed afterwards. The key shows such a record.
+pub fn record_key(era: u64) -> String {
+    format!("{RECORD_KEY_PREFIX}{era}")
+}
+
+/// Returns the position of a table's record in the era in which its writer decided on it.
+/// That is an earlier one than the log's for a record that a restored log kept, and for one
+/// whose append came late. Earlier versions wrote the key `table`, which stands for era 0.
+pub fn record_offset(record: &adapter::Record) -> model::Offset {
+    let era = record.key.strip_prefix(RECORD_KEY_PREFIX);
+    let era = era.and_then(|era| era.parse().ok()).unwrap_or(0);
+    record.offset.in_era(era.min(record.offset.era()))
+}
+
 /// One incarnation (process) of a target that owns keys.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Owner {
@@ -44,6 +64,11 @@
         }
     }
 
+    /// Returns the era of the log in which the run got its fence.
+    pub fn era(&self) -> u64 {
+        model::Offset(self.fence.saturating_sub(1)).era()
+    }
+
     /// Returns whether this run and the following one may be merged.
     fn is_mergeable(&self, next: &Self) -> bool {
         self.owner == next.owner
--- a/src/gateway/relay/exchange.rs
+++ b/src/gateway/relay/exchange.rs
@@ -50,7 +50,9 @@
     let reader = shared.relay.borrow().reader.clone()?;
     let address = shared.peers.borrow().address(&reader)?;
     let mut request = http::Request::new(Bytes::new());
-    *request.uri_mut() = format!("/records/{}/{from}", topic.index()).parse().ok()?;
+    *request.uri_mut() = format!("/records/{}/{}", topic.index(), from.0)
+        .parse()
+        .ok()?;
     let host = address.to_string().parse().ok()?;
     request.headers_mut().insert(http::header::HOST, host);
     let timeouts = client::ResponseTimeouts {
--- a/src/model.rs
+++ b/src/model.rs
@@ -63,6 +63,10 @@
 );
 
 /// Position of a record in the platform's log.
+///
+/// A log that is restored from an older copy gives numbers out again. The era, which the log
+/// raises with each restore, keeps positions unique and rising: every position of a later
+/// era is greater than all positions of earlier ones.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
@@ -70,15 +74,49 @@
 pub struct Offset(pub u64);
 
 impl Offset {
+    /// Number of the low bits that hold the record's number; the era is in the bits above.
+    const NUMBER_BITS: u32 = 40;
+    /// Highest number of a record.
+    pub const MAX_NUMBER: u64 = (1 << Self::NUMBER_BITS) - 1;
+    /// Highest era. Fencing tokens are made of positions and sent as JSON numbers, which
+    /// hold integers exactly up to 53 bits.
+    pub const MAX_ERA: u64 = (1 << (53 - Self::NUMBER_BITS)) - 1;
+
+    /// Returns the position of the record `number` of an era, or `None` if either is above
+    /// its maximum.
+    pub fn new(era: u64, number: u64) -> Option<Self> {
+        let valid = era <= Self::MAX_ERA && number <= Self::MAX_NUMBER;
+        valid.then_some(Self(era << Self::NUMBER_BITS | number))
+    }
+
+    /// Returns the era of the log in which the position was given out.
+    pub fn era(self) -> u64 {
+        self.0 >> Self::NUMBER_BITS
+    }
+
+    /// Returns the record's number within the log.
+    pub fn number(self) -> u64 {
+        self.0 & Self::MAX_NUMBER
+    }
+
+    /// Returns the position with the same number in another era.
+    pub fn in_era(self, era: u64) -> Self {
+        Self(era << Self::NUMBER_BITS | self.number())
+    }
+
     /// Returns the position that follows this one.
     pub fn next(self) -> Self {
         Self(self.0 + 1)
     }
 }
 
+/// Shows the number, and before it the era if the log was ever restored.
 impl fmt::Display for Offset {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}", self.0)
+        match self.era() {
+            0 => write!(f, "{}", self.number()),
+            era => write!(f, "{era}:{}", self.number()),
+        }
     }
 }
 
@@ -104,7 +142,7 @@
 
 impl fmt::Display for Fence {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}.{}", self.offset, self.step)
+        write!(f, "{}.{}", self.offset.0, self.step)
     }
 }
 
--- a/tests/gateway_coordinator.rs
+++ b/tests/gateway_coordinator.rs
@@ -7,6 +7,8 @@
 mod outage;
 #[path = "gateway_coordinator/owners.rs"]
 mod owners;
+#[path = "gateway_coordinator/restored.rs"]
+mod restored;
 #[path = "gateway_coordinator/rig.rs"]
 mod rig;
 #[path = "gateway_coordinator/model.rs"]
@@ -69,7 +71,7 @@
         for now in (100..3_000).map(Millis) {
             for action in other.poll(now, rank) {
                 match action {
-                    coordinator::Action::Read => other.on_confirmed(now, end),
+                    coordinator::Action::Read => other.on_confirmed(now, now, end),
                     coordinator::Action::Append { table, .. } => {
                         takeover = takeover.or(Some((now, table)))
                     }
--- a/tests/gateway_coordinator/model.rs
+++ b/tests/gateway_coordinator/model.rs
@@ -470,7 +470,7 @@
         match record {
             None => coordinator.on_empty_topic(now, started, end),
             Some((offset, _)) if coordinator.offset() == Some(model::Offset(offset)) => {
-                coordinator.on_confirmed(started, end);
+                coordinator.on_confirmed(now, started, end);
             }
             Some((offset, bytes)) => {
                 let table = keys::Table::decode(&bytes).ok();
--- a/tests/gateway_keys.rs
+++ b/tests/gateway_keys.rs
@@ -107,3 +107,22 @@
         );
     }
 }
+
+/// Guards against a table that was decided on before the log was restored and counts as one
+/// of the present era.
+#[test]
+fn record_offset_eras() {
+    let at = |era, number| model::Offset::new(era, number).expect("an offset");
+    let offset = |key: &str, offset| {
+        keys::record_offset(&adapter::Record {
+            offset,
+            key: key.into(),
+            value: None,
+        })
+    };
+    assert_eq!(offset(&keys::record_key(2), at(2, 7)), at(2, 7));
+    assert_eq!(offset(&keys::record_key(1), at(2, 7)), at(1, 7));
+    assert_eq!(offset("table", at(2, 7)), at(0, 7));
+    assert_eq!(offset("table.x", at(2, 7)), at(0, 7));
+    assert_eq!(offset(&keys::record_key(3), at(2, 7)), at(2, 7));
+}
