Don't take a table for confirmed by a read from beyond it

What callers could see: two targets hold the same keys (OWNER), without a restore of the log: a daemon takes over with an outdated key table.

Cause: a daemon's read position in the topic also moves on by records that the reader of its failure domain passes on; these reach requests, but not the state machine. A later read of its own from that position shows no record, and the state machine took its older table for the newest one. It was saved only by the coordinator's heartbeat, which names the offset of its record, unless that was lost: the coordinator is killed or cut off between its append and the next heartbeat.

Change: a read that shows no record names the position at which it began, and counts only if the state machine knows all records before it.

--- a/src/gateway/coordinator.rs
+++ b/src/gateway/coordinator.rs
@@ -455,9 +455,21 @@
         }
     }
 
-    /// Handles a read, started at `started`, that showed no record after the known one.
-    pub fn on_confirmed(&mut self, now: clock::Millis, started: clock::Millis, end: model::Offset) {
+    /// Handles a read from `from` on, started at `started`, that showed no record. It proves
+    /// nothing if records before `from` are unknown here: a daemon's read position also moves
+    /// on by records that other daemons pass on.
+    pub fn on_unchanged(
+        &mut self,
+        now: clock::Millis,
+        started: clock::Millis,
+        from: model::Offset,
+        end: model::Offset,
+    ) {
         self.on_end(now, end);
+        let first = model::Offset::default().in_era(self.era());
+        if from > self.read_offset().unwrap_or(first) {
+            return;
+        }
         self.on_read_answered(started);
         self.confirm(started, end);
     }
--- a/src/gateway/executor.rs
+++ b/src/gateway/executor.rs
@@ -286,7 +286,7 @@
         let mut machine = machine.borrow_mut();
         match read {
             TableRead::Empty(end) => machine.on_empty_topic(now, started, end),
-            TableRead::Unchanged(end) => machine.on_confirmed(now, started, end),
+            TableRead::Unchanged(from, end) => machine.on_unchanged(now, started, from, end),
             TableRead::Record(offset, end, table) => {
                 machine.on_record(now, started, offset, end, table);
             }
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -670,8 +670,8 @@
     /// Offset of the newest record in the era in which it was decided on, end of the topic,
     /// and the table unless the record can't be decoded.
     Record(model::Offset, model::Offset, Option<keys::Table>),
-    /// No record follows the known ones; the topic ends at this offset.
-    Unchanged(model::Offset),
+    /// There are no records from the first offset on; the topic ends at the second one.
+    Unchanged(model::Offset, model::Offset),
 }
 
 /// Decodes a key table; logs the findings and returns `None` if it can't be decoded.
@@ -714,7 +714,7 @@
             let offset = keys::record_offset(record);
             TableRead::Record(offset, batch.end, decode_table(record))
         }
-        None => TableRead::Unchanged(batch.end),
+        None => TableRead::Unchanged(batch.next, batch.end),
     }
 }
 
--- a/tests/gateway_coordinator.rs
+++ b/tests/gateway_coordinator.rs
@@ -71,7 +71,7 @@
         for now in (100..3_000).map(Millis) {
             for action in other.poll(now, rank) {
                 match action {
-                    coordinator::Action::Read => other.on_confirmed(now, now, end),
+                    coordinator::Action::Read => other.on_unchanged(now, now, end, end),
                     coordinator::Action::Append { table, .. } => {
                         takeover = takeover.or(Some((now, table)))
                     }
@@ -88,6 +88,33 @@
     }
 }
 
+/// Guards against a takeover with an outdated table: the daemon's read position has moved on
+/// by records that another daemon passed on, so that its own read shows no newer record.
+#[test]
+fn on_unchanged_unknown_records() {
+    let mut rig = Rig::new(vec![ready("a"), ready("b")]);
+    rig.run(10, done);
+    let old = rig.coordinator.table().unwrap().clone();
+    let incarnation = model::Incarnation(2);
+    let mut other = coordinator::Coordinator::new("h1".into(), incarnation, Millis(0));
+    other.on_targets(Millis(0), None, vec![ready("a"), ready("b")], services());
+    other.poll(Millis(0), 0);
+    let (offset, end) = (model::Offset(0), model::Offset(1));
+    other.on_record(Millis(5), Millis(0), offset, end, Some(old));
+    let later = model::Offset(3);
+    for now in (100..3_000).step_by(10).map(Millis) {
+        other.on_unchanged(now, now, later, later);
+        for action in other.poll(now, 0) {
+            match action {
+                // The daemon's read from its own position is not answered.
+                coordinator::Action::Read => {}
+                action => panic!("at {now:?} without the newest table: {action:?}"),
+            }
+        }
+    }
+    assert_eq!(other.confirmed_age(Millis(3_000)), Some(3_000));
+}
+
 /// Guards against a coordinator that acts on a record known to be superseded.
 #[test]
 fn on_heartbeat_higher_offset_ends_authority() {
--- a/tests/gateway_coordinator/model.rs
+++ b/tests/gateway_coordinator/model.rs
@@ -470,7 +470,8 @@
         match record {
             None => coordinator.on_empty_topic(now, started, end),
             Some((offset, _)) if coordinator.offset() == Some(model::Offset(offset)) => {
-                coordinator.on_confirmed(now, started, end);
+                let from = model::Offset(offset).next();
+                coordinator.on_unchanged(now, started, from, end);
             }
             Some((offset, bytes)) => {
                 let table = keys::Table::decode(&bytes).ok();
--- a/tests/gateway_coordinator/restored.rs
+++ b/tests/gateway_coordinator/restored.rs
@@ -239,8 +239,8 @@
         for action in rig.coordinator.poll(now, 0) {
             match action {
                 coordinator::Action::Read => {
-                    rig.coordinator
-                        .on_confirmed(now, now, model::Offset(rig.end));
+                    let end = model::Offset(rig.end);
+                    rig.coordinator.on_unchanged(now, now, end, end);
                 }
                 coordinator::Action::Grant { .. } => call = Some(call_of(&action)),
                 _ => {}
--- a/tests/gateway_coordinator/rig.rs
+++ b/tests/gateway_coordinator/rig.rs
@@ -73,8 +73,8 @@
                     self.coordinator.on_empty_topic(now, now, model::Offset(0));
                 }
                 coordinator::Action::Read if self.log_up => {
-                    self.coordinator
-                        .on_confirmed(now, now, model::Offset(self.end));
+                    let end = model::Offset(self.end);
+                    self.coordinator.on_unchanged(now, now, end, end);
                 }
                 coordinator::Action::Read => {}
                 coordinator::Action::Append { table, end } => {
