Ask again whether an order may be sent when its connection is open

What callers could see: two targets hold the same keys (OWNER): a grant reaches a target up to 400 ms after the coordinator's authority has ended, or after its run has changed, while the next coordinator counts 300 ms for orders in flight.

Cause: the state machine allowed an order before its connection was opened, which may take 400 ms, and was not asked again.

Change: when a connection had to be opened, the order is written only if the state machine still allows it; the lease counts from that time. An order that is not written is not a failure of the target.

--- a/src/gateway/client.rs
+++ b/src/gateway/client.rs
@@ -228,8 +228,26 @@
         request: http::Request<Bytes>,
         connect: Duration,
     ) -> Result<http::Response<Bytes>, Failure> {
-        self.fetch(peer, request, connect, ResponseTimeouts::UNLIMITED)
-            .await
+        self.call_if(peer, request, connect, || true).await
+    }
+
+    /// Sends a request and returns the response with its complete body. If a connection has
+    /// to be opened, the request is written only if `may_send` then returns true.
+    ///
+    /// # Errors
+    /// The failure tells whether the request may have reached the peer.
+    pub async fn call_if(
+        &self,
+        peer: Peer,
+        request: http::Request<Bytes>,
+        connect: Duration,
+        may_send: impl Fn() -> bool,
+    ) -> Result<http::Response<Bytes>, Failure> {
+        let timeouts = ResponseTimeouts::UNLIMITED;
+        let exchange = self
+            .send_pooled(peer, request, connect, timeouts, may_send)
+            .await?;
+        self.complete(peer, exchange, timeouts).await
     }
 
     /// Sends a request and returns the response with its complete body, within the
@@ -247,6 +265,16 @@
         let exchange = self
             .send_pooled(peer, request, connect, timeouts, || true)
             .await?;
+        self.complete(peer, exchange, timeouts).await
+    }
+
+    /// Reads the rest of a response.
+    async fn complete(
+        &self,
+        peer: Peer,
+        exchange: Exchange,
+        timeouts: ResponseTimeouts,
+    ) -> Result<http::Response<Bytes>, Failure> {
         let response = self.release(peer, exchange, |_| true);
         let (parts, body) = response.into_parts();
         let bytes = match body {
--- a/src/gateway/coordinator/orders.rs
+++ b/src/gateway/coordinator/orders.rs
@@ -16,15 +16,24 @@
     /// [`super::OrderOutcome::Unanswered`]. The end of a grant's lease is counted from
     /// this time.
     pub fn may_send(&mut self, now: clock::Millis, call: u64) -> bool {
+        let unsent = |entry: &super::Call| entry.sent.is_none();
+        self.calls.get(&call).is_some_and(unsent) && self.may_write(now, call)
+    }
+
+    /// Returns whether the order `call`, whose connection took time to open, may still be
+    /// written; if so, records `now` as the time of sending. Otherwise the order counts as not
+    /// sent.
+    pub fn may_write(&mut self, now: clock::Millis, call: u64) -> bool {
         let allowed = self.may_act(now);
         let Some(entry) = self.calls.get_mut(&call) else {
             return false;
         };
         let current = |order: &super::Order| order.call == Some(call);
-        if !allowed || entry.sent.is_some() || !self.orders.get(&entry.id).is_some_and(current) {
+        let allowed = allowed && self.orders.get(&entry.id).is_some_and(current);
+        entry.sent = allowed.then_some(now);
+        if !allowed {
             return false;
         }
-        entry.sent = Some(now);
         if let Some(lease) = entry.lease {
             let (service, range, _) = &entry.id;
             let key = (service.clone(), entry.owner.clone(), *range);
--- a/src/gateway/executor.rs
+++ b/src/gateway/executor.rs
@@ -499,7 +499,10 @@
         address,
         birth: owner.birth,
     };
-    let answer = shared.client.call(peer, request, CONNECT_TIMEOUT);
+    let may_write = || machine.borrow_mut().may_write(clock::now(), call);
+    let answer = shared
+        .client
+        .call_if(peer, request, CONNECT_TIMEOUT, may_write);
     let timeout = match kind {
         counters::OrderKind::Grant => GRANT_TIMEOUT_MS,
         counters::OrderKind::Release => RELEASE_TIMEOUT_MS,
--- a/tests/gateway_coordinator.rs
+++ b/tests/gateway_coordinator.rs
@@ -115,6 +115,22 @@
     assert_eq!(other.confirmed_age(Millis(3_000)), Some(3_000));
 }
 
+/// Guards against an order that is written after the coordinator's authority has ended,
+/// because its connection took long to open.
+#[test]
+fn may_write_after_authority() {
+    let mut rig = Rig::new(vec![ready("a")]);
+    let orders = rig.run(10, |_| None);
+    let call = call_of(&orders[0].1);
+    let confirmed = rig.now - rig.coordinator.confirmed_age(Millis(rig.now)).unwrap();
+    let end = confirmed + coordinator::AUTHORITY_MS;
+    assert!(rig.coordinator.may_write(Millis(end - 1), call));
+    assert!(!rig.coordinator.may_write(Millis(end), call));
+    let unanswered = coordinator::OrderOutcome::Unanswered;
+    rig.coordinator.on_ordered(Millis(end), call, unanswered);
+    assert_eq!(rig.coordinator.ejected_owners().count(), 0);
+}
+
 /// Guards against a coordinator that acts on a record known to be superseded.
 #[test]
 fn on_heartbeat_higher_offset_ends_authority() {
