Keep targets that a restored log lacks until they write again

What callers could see: targets that serve are given up after the log was restored from an older copy, if their first entry is newer than the copy (refusals, and keys that move for nothing).

Cause: a full read of the list after the restore shows fewer targets, which counted as removals; entries that are written again unchanged counted as stale. Without an outage that this daemon noticed, nothing put the removals in doubt.

Change: the registry is told of the restore before the list is applied, so that removals wait as after an outage (2 s), and an unchanged entry cancels them until then. The time since which the list was read reliably starts again, since the copy may show draining targets as ready.

Older entries of the copy were stale before and stay so (replace_restored_older_entries).

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -617,6 +617,7 @@
     };
     let targets = readers::Targets {
         shared: Rc::clone(shared),
+        era: readers::LastEra::default(),
         outage_since: None,
     };
     let hosts = readers::Hosts {
--- a/src/gateway/feed/readers.rs
+++ b/src/gateway/feed/readers.rs
@@ -17,6 +17,19 @@
 /// as ready for a while after its return.
 const SETTLE_MS: u64 = 4_000;
 
+/// Era of the log in the last full read of a topic.
+#[derive(Debug, Default)]
+pub(super) struct LastEra(Option<u64>);
+
+impl LastEra {
+    /// Records a full read up to `end`, and returns whether the log was restored from an
+    /// older copy since the one before.
+    fn on_full_read(&mut self, end: model::Offset) -> bool {
+        let before = self.0.replace(end.era());
+        before.is_some_and(|era| era < end.era())
+    }
+}
+
 /// Applies operators' records: the configuration and drained failure domains.
 pub(super) struct Operator {
     pub(super) shared: Rc<Shared>,
@@ -103,6 +116,7 @@
 /// Applies targets' entries and detects outages of the log.
 pub(super) struct Targets {
     pub(super) shared: Rc<Shared>,
+    pub(super) era: LastEra,
     /// Start of the current outage of the log, if there is one.
     pub(super) outage_since: Option<clock::Millis>,
 }
@@ -158,8 +172,17 @@
 }
 
 impl Handler for Targets {
-    fn replace(&mut self, records: Vec<adapter::Record>, _end: model::Offset, source: Source) {
+    fn replace(&mut self, records: Vec<adapter::Record>, end: model::Offset, source: Source) {
         self.on_answer(source);
+        if self.era.on_full_read(end) {
+            self.shared
+                .registry
+                .borrow_mut()
+                .on_log_restored(clock::now());
+            // The list may show targets as ready that are draining, until they write again.
+            self.shared.targets_read_at.set(None);
+            self.shared.answering_since.set(Some(clock::now()));
+        }
         let before = self.shared.registry.borrow().generation();
         let entries = records
             .iter()
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -152,6 +152,8 @@
     /// Targets removed within the last [`REMOVED_RETENTION_MS`].
     removed: BTreeMap<model::TargetName, Rc<Target>>,
     log: LogState,
+    /// The log was restored from an older copy, and entries are being written again.
+    rewriting: bool,
     /// Time up to which all changes of the list are known.
     current_until: Option<clock::Millis>,
     /// Number of changes that matter for choosing a target.
@@ -169,6 +171,9 @@
     /// An entry of a cold target extends the time for which it is cold, even if it
     /// differs from the last one only in its sequence.
     pub fn apply(&mut self, now: clock::Millis, entry: adapter::Entry) {
+        if self.rewriting && self.is_known(&entry) {
+            self.delayed.remove(&entry.name);
+        }
         if !self.record_version(now, &entry) {
             return;
         }
@@ -206,14 +211,27 @@
             self.remove_or_delay(now, name);
         }
         for entry in entries {
-            let version = self.versions.get(&entry.name);
-            if version.is_some_and(|v| (v.birth, v.sequence) == (entry.birth, entry.sequence)) {
+            if self.is_known(&entry) {
                 self.delayed.remove(&entry.name);
             }
             self.apply(now, entry);
         }
     }
 
+    /// Records that the log was restored from an older copy: entries may be missing from it
+    /// until they are written again, possibly unchanged. To be called before the list is
+    /// read again.
+    pub fn on_log_restored(&mut self, now: clock::Millis) {
+        self.log = LogState::Restored(now);
+        self.rewriting = true;
+    }
+
+    /// Returns whether an entry is the newest known one of its name.
+    fn is_known(&self, entry: &adapter::Entry) -> bool {
+        let version = self.versions.get(&entry.name);
+        version.is_some_and(|v| (v.birth, v.sequence) == (entry.birth, entry.sequence))
+    }
+
     /// Records that all changes of the list up to `at` have been applied.
     pub fn set_current(&mut self, at: clock::Millis) {
         self.current_until = self.current_until.max(Some(at));
@@ -237,6 +255,7 @@
     /// Performs delayed removals that are due and drops expired data of removed targets.
     pub fn sweep(&mut self, now: clock::Millis) {
         if self.log.is_relisted(now) {
+            self.rewriting = false;
             for name in mem::take(&mut self.delayed) {
                 self.remove_now(now, &name);
             }
--- a/tests/gateway_registry.rs
+++ b/tests/gateway_registry.rs
@@ -295,6 +295,37 @@
     }
 }
 
+/// Guards against the loss of targets whose entries a restored log lacks until they are
+/// written again, unchanged or renewed, and against keeping those that are not.
+#[test]
+fn replace_restored() {
+    for (renewed, expected) in [(5, "t0 t1"), (6, "t0 t1"), (4, "t0")] {
+        let mut registry = registry();
+        registry.on_log_restored(Millis(1_000));
+        registry.replace(Millis(1_000), vec![entry("t0", 5, 4)]);
+        assert_eq!(listed(&registry), "t0 t1");
+        registry.apply(Millis(1_500), entry("t1", 5, renewed));
+        registry.sweep(Millis(2_999));
+        assert_eq!(listed(&registry), "t0 t1");
+        registry.sweep(Millis(3_000));
+        assert_eq!(listed(&registry), expected, "sequence {renewed}");
+    }
+}
+
+/// Guards against a target that counts as ready because a restored log shows an older entry
+/// of it, and against one that is back because its removal is lost.
+#[test]
+fn replace_restored_older_entries() {
+    let mut registry = registry();
+    registry.apply(Millis(200), draining(entry("t0", 5, 6)));
+    registry.remove(Millis(300), "t1");
+    registry.on_log_restored(Millis(1_000));
+    registry.replace(Millis(1_000), vec![entry("t0", 5, 5), entry("t1", 5, 5)]);
+    let targets = registry.of(&"orders".into());
+    assert_eq!(listed(&registry), "t0");
+    assert_eq!(targets[0].state, EntryState::Draining);
+}
+
 /// Guards against the loss of all targets after an outage in which their entries
 /// expired.
 #[test]
