Keep drains of failure domains that a restored log lacks

What callers saw: requests reached a failure domain that operators had taken out (EVAC), between the return of the log from an older copy and the time at which the operators' record was written again.

Cause: a full read shows all drains there are, and the copy lacks the newer ones.

Change: after a restore, a drain that the log lacks is kept for 10 s, within which operators' records are written again; then it ends, and the log says so. A removal that the log shows ends it at once.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -614,6 +614,8 @@
 pub(crate) fn start(shared: &Rc<Shared>) {
     let operator = readers::Operator {
         shared: Rc::clone(shared),
+        era: readers::LastEra::default(),
+        missing: Rc::default(),
     };
     let targets = readers::Targets {
         shared: Rc::clone(shared),
--- a/src/gateway/feed/readers.rs
+++ b/src/gateway/feed/readers.rs
@@ -1,8 +1,10 @@
 //! Applies the records of each topic to the daemon's state.
 
-use std::collections::HashSet;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::clock;
 use crate::gateway::adapter;
@@ -17,6 +19,9 @@
 /// as ready for a while after its return.
 const SETTLE_MS: u64 = 4_000;
 
+/// Time within which operators' records that a restored log lacks are written again.
+const REWRITE_MS: u64 = 10_000;
+
 /// Era of the log in the last full read of a topic.
 #[derive(Debug, Default)]
 pub(super) struct LastEra(Option<u64>);
@@ -33,6 +38,10 @@
 /// Applies operators' records: the configuration and drained failure domains.
 pub(super) struct Operator {
     pub(super) shared: Rc<Shared>,
+    pub(super) era: LastEra,
+    /// Drained domains whose records a restored log lacks, with the time until which they
+    /// stay drained unless the records are written again.
+    pub(super) missing: Rc<RefCell<BTreeMap<model::DomainName, clock::Millis>>>,
 }
 
 impl Operator {
@@ -41,6 +50,7 @@
         match (adapter.subject(&record.key), &record.value) {
             (adapter::Subject::Configuration, Some(value)) => self.configure(record.offset, value),
             (adapter::Subject::Drained(domain), Some(_)) => {
+                self.missing.borrow_mut().remove(&domain);
                 let mut drained_domains = self.shared.drained_domains.borrow_mut();
                 // A record that is read again must not restart the time to drain.
                 drained_domains.entry(domain).or_insert_with_key(|domain| {
@@ -49,6 +59,7 @@
                 });
             }
             (adapter::Subject::Drained(domain), None) => {
+                self.missing.borrow_mut().remove(&domain);
                 let removed = self.shared.drained_domains.borrow_mut().remove(&domain);
                 removed.inspect(|_| log::info!("failure domain {domain} is back"));
             }
@@ -57,6 +68,34 @@
         self.shared.record_drains(record.offset);
     }
 
+    /// Keeps domains drained whose records a restored log lacks, until these are written
+    /// again or [`REWRITE_MS`] have passed.
+    fn keep_missing(&self, present: &[adapter::Subject]) {
+        let until = clock::now() + REWRITE_MS;
+        let drained = self.shared.drained_domains.borrow();
+        for domain in drained.keys() {
+            if !present.contains(&adapter::Subject::Drained(domain.clone())) {
+                log::warn!("the restored log lacks the drain of failure domain {domain}");
+                self.missing.borrow_mut().insert(domain.clone(), until);
+            }
+        }
+        drop(drained);
+        let (shared, missing) = (Rc::clone(&self.shared), Rc::clone(&self.missing));
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(Duration::from_millis(REWRITE_MS)).await;
+            let now = clock::now();
+            let mut drained = shared.drained_domains.borrow_mut();
+            missing.borrow_mut().retain(|domain, until| {
+                let is_kept = now < *until;
+                if !is_kept {
+                    drained.remove(domain);
+                    log::info!("failure domain {domain} is back: its drain was not written again");
+                }
+                is_kept
+            });
+        });
+    }
+
     /// Puts a configuration into effect unless its version is known or it is invalid.
     fn configure(&self, offset: model::Offset, value: &[u8]) {
         let revision = match self.shared.adapter.parse_configuration(value) {
@@ -91,10 +130,18 @@
             .filter(|record| record.value.is_some())
             .map(|record| self.shared.adapter.subject(&record.key))
             .collect();
+        if self.era.on_full_read(end) {
+            self.keep_missing(&present);
+        }
+        let missing = self.missing.borrow();
         self.shared
             .drained_domains
             .borrow_mut()
-            .retain(|domain, _| present.contains(&adapter::Subject::Drained(domain.clone())));
+            .retain(|domain, _| {
+                let drained = adapter::Subject::Drained(domain.clone());
+                present.contains(&drained) || missing.contains_key(domain)
+            });
+        drop(missing);
         self.shared.record_drains(end);
         for record in &records {
             self.apply_record(record);
