Append the host's record again if a restored log lacks it

What callers could see: a daemon that joined after the copy is unknown to daemons that start after the restore: no relayed records, no counts and no heartbeats between them for as long as both run.

Cause: a daemon appends its record once, when it starts.

Change: a full read after a restore that lacks the own record appends it again.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -624,6 +624,7 @@
     };
     let hosts = readers::Hosts {
         shared: Rc::clone(shared),
+        era: readers::LastEra::default(),
     };
     let plan = |topic, wait, interval_ms| Plan {
         topic,
--- a/src/gateway/feed/readers.rs
+++ b/src/gateway/feed/readers.rs
@@ -9,7 +9,7 @@
 use crate::clock;
 use crate::gateway::adapter;
 use crate::gateway::catalog;
-use crate::gateway::feed::{Handler, Source, log_findings};
+use crate::gateway::feed::{Handler, Source, append_host, log_findings};
 use crate::gateway::peers;
 use crate::gateway::shared::Shared;
 use crate::model;
@@ -276,6 +276,7 @@
 /// Applies hosts' records to the directory of daemons.
 pub(super) struct Hosts {
     pub(super) shared: Rc<Shared>,
+    pub(super) era: LastEra,
 }
 
 impl Hosts {
@@ -291,10 +292,16 @@
 }
 
 impl Handler for Hosts {
-    fn replace(&mut self, records: Vec<adapter::Record>, _end: model::Offset, _source: Source) {
+    fn replace(&mut self, records: Vec<adapter::Record>, end: model::Offset, _source: Source) {
         for record in &records {
             self.apply_record(record);
         }
+        let own = self.shared.settings.host.as_str();
+        let is_listed = records.iter().any(|record| &*record.key == own);
+        if self.era.on_full_read(end) && !is_listed {
+            log::info!("the restored log lacks this host's record; appending it again");
+            tokio::task::spawn_local(append_host(Rc::clone(&self.shared)));
+        }
     }
 
     fn apply(&mut self, batch: adapter::Batch, _source: Source) -> Vec<adapter::Record> {
