Show restores of the log in the history and the metrics

What operators saw: nothing told a log that was restored from an older copy from one that dropped old records ("records of Table before offset 0 are gone"), so that the hypotheses of the incident could not be told apart.

--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -195,6 +195,7 @@
                 "key table by {steward}{takeover}: {moved_runs} runs with {moved_keys} keys moved"
             )
         }
+        Event::LogRestored { era } => format!("the log was restored from a copy: era {era}"),
         Event::OwnerEjected { target, birth } => {
             format!("target {target} of birth {birth} does not answer orders")
         }
--- a/src/gateway/admin.rs
+++ b/src/gateway/admin.rs
@@ -222,6 +222,7 @@
     let table = shared.table.borrow();
     shared.counters.render(counters::GaugeValues {
         version: catalog.as_ref().map_or(0, |catalog| catalog.version()),
+        log_era: shared.log_era.get(),
         coordinator: table
             .as_ref()
             .is_some_and(|(_, table)| table.incarnation == shared.incarnation),
--- a/src/gateway/counters.rs
+++ b/src/gateway/counters.rs
@@ -162,6 +162,8 @@
 pub struct GaugeValues {
     /// Version of the configuration in effect, or 0 if there is none.
     pub version: u64,
+    /// Era of the log, which rises each time it is restored from an older copy.
+    pub log_era: u64,
     /// Whether the daemon is the coordinator, which writes the key table.
     pub coordinator: bool,
     /// Whether the daemon reads the log itself, rather than through another daemon.
@@ -179,6 +181,7 @@
 #[derive(Debug, Default)]
 struct Gauges {
     version: Gauge<u64, AtomicU64>,
+    log_era: Gauge<u64, AtomicU64>,
     coordinator: Gauge,
     reader: Gauge,
     running: Gauge,
@@ -314,6 +317,8 @@
         registry.register("view_age_seconds", help, gauges.view_ages.clone());
         let help = "Version of the configuration in effect";
         registry.register("configuration_version", help, gauges.version.clone());
+        let help = "Era of the log, which rises each time it is restored from an older copy";
+        registry.register("log_era", help, gauges.log_era.clone());
         let help = "Whether the daemon owns the key table";
         registry.register("steward", help, gauges.coordinator.clone());
         let help = "Whether the daemon makes its own calls to the log";
@@ -429,6 +434,7 @@
     /// Sets the gauges to `values` and returns all metrics as OpenMetrics text.
     pub fn render(&self, values: GaugeValues) -> String {
         self.gauges.version.set(values.version);
+        self.gauges.log_era.set(values.log_era);
         self.gauges.coordinator.set(i64::from(values.coordinator));
         self.gauges.reader.set(i64::from(values.reader));
         self.gauges.running.set(values.running as i64);
--- a/src/gateway/feed/readers.rs
+++ b/src/gateway/feed/readers.rs
@@ -10,6 +10,7 @@
 use crate::gateway::adapter;
 use crate::gateway::catalog;
 use crate::gateway::feed::{Handler, Source, append_host, log_findings};
+use crate::gateway::history;
 use crate::gateway::peers;
 use crate::gateway::shared::Shared;
 use crate::model;
@@ -221,7 +222,10 @@
 impl Handler for Targets {
     fn replace(&mut self, records: Vec<adapter::Record>, end: model::Offset, source: Source) {
         self.on_answer(source);
+        self.shared.log_era.set(end.era());
         if self.era.on_full_read(end) {
+            let event = history::Event::LogRestored { era: end.era() };
+            self.shared.history.add(clock::now(), Some(end), event);
             self.shared
                 .registry
                 .borrow_mut()
--- a/src/gateway/history.rs
+++ b/src/gateway/history.rs
@@ -49,6 +49,11 @@
         /// Number of keys that changed owner.
         moved_keys: u32,
     },
+    /// The log was restored from an older copy, so that records written since are lost.
+    LogRestored {
+        /// Era of the log, which rises with each restore.
+        era: u64,
+    },
     /// An owner of keys does not reply to orders, or refuses connections. Only the
     /// coordinator records it, with the offset of the key table.
     #[serde(rename = "owner_silent")]
@@ -68,6 +73,7 @@
             | Self::DomainDrained { .. }
             | Self::DomainRestored { .. } => "operator",
             Self::KeyTable { .. } | Self::OwnerEjected { .. } => "table",
+            Self::LogRestored { .. } => "targets",
         }
     }
 }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -48,6 +48,8 @@
     pub registry: RefCell<registry::Registry>,
     /// Whether the list of targets was read at least once.
     pub targets_read: Cell<bool>,
+    /// Era of the log in the last full read of the list of targets.
+    pub log_era: Cell<u64>,
     /// Start of this daemon's last successful read of the list of targets, made after
     /// the log had been available for some time.
     pub targets_read_at: Cell<Option<clock::Millis>>,
@@ -127,6 +129,7 @@
             registry: RefCell::default(),
             targets_read: Cell::default(),
             targets_read_at: Cell::default(),
+            log_era: Cell::default(),
             answering_since: Cell::default(),
             outage_since: Cell::default(),
             relay: RefCell::default(),
--- a/tests/gateway_metrics.rs
+++ b/tests/gateway_metrics.rs
@@ -88,8 +88,15 @@
         counters::OrderKind::Grant,
         &coordinator::OrderOutcome::Fenced,
     );
-    let text = metrics.render(counters::GaugeValues::default());
-    for outcome in ["moved", "silent"] {
+    let restored: Result<(), _> = Err(adapter::ReadError::Restored(3));
+    metrics.on_call(topic, &restored);
+    let values = counters::GaugeValues {
+        log_era: 3,
+        ..counters::GaugeValues::default()
+    };
+    let text = metrics.render(values);
+    assert_line(&text, "gateway_log_era 3");
+    for outcome in ["moved", "silent", "restored"] {
         let name = r#"gateway_log_results_total{topic="table","#;
         assert_line(&text, &format!(r#"{name}outcome="{outcome}"}} 1"#));
     }
