Ask the reader for the newest records after the log was restored

What operators could see: after a restore, each daemon reads all topics in full from the log: at 560 daemons and a configuration of a megabyte, half a gigabyte at once, for which the reads share one limit, so that a configuration is late (CONFIG).

Cause: a follower knows only how to ask its reader for the records after a position, and no position of before the restore has any.

Change: the reader also answers with the newest records of all keys, if its cache has them all; a follower asks for these when its reader reads in a later era, and reads the log itself otherwise.

Not measured at 560 daemons.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -374,6 +374,13 @@
     received: relay::Received,
     handler: &mut impl Handler,
 ) -> u64 {
+    let restored = reader_era(shared, plan, position);
+    if let (relay::Received::Gap, Some(era)) = (&received, restored)
+        && let Some(batch) = relay::fetch_all(shared, plan.topic, era).await
+    {
+        replace_relayed(shared, plan, position, batch, handler);
+        return 0;
+    }
     let batch = match (received, position.from) {
         (relay::Received::Batch(batch), _) => Some(batch),
         (relay::Received::Gap, Some(from)) => relay::fetch(shared, plan.topic, from).await,
@@ -399,6 +406,38 @@
     0
 }
 
+/// Returns the era of the log in which the reader reads a topic, if that is a later one than
+/// the position's.
+fn reader_era(shared: &Shared, plan: &Plan, position: &Position) -> Option<u64> {
+    let era = shared.relay.borrow().reader_offset(plan.topic)?.era();
+    (position.from?.era() < era).then_some(era)
+}
+
+/// Applies the newest records of all keys, which the reader has read since the log was
+/// restored.
+fn replace_relayed(
+    shared: &Rc<Shared>,
+    plan: &Plan,
+    position: &mut Position,
+    batch: adapter::Batch,
+    handler: &mut impl Handler,
+) {
+    let next = batch.next;
+    let topic = plan.topic.label();
+    log::info!(
+        "{topic}: the log was restored from a copy; its era is {}",
+        next.era()
+    );
+    let mut relay = shared.relay.borrow_mut();
+    relay.replace_cache(plan.topic, &batch.records, next);
+    drop(relay);
+    handler.replace(batch.records, next, Source::Relayed);
+    position.on_read(next);
+    let now = clock::now();
+    let renewal = shared.views.borrow_mut().on_records(plan.topic, next, now);
+    on_renewal(shared, plan.topic, renewal);
+}
+
 /// Reads and applies the newest records of all keys; returns the pause before the next
 /// read in milliseconds.
 async fn read_all(
--- a/src/gateway/feed/readers.rs
+++ b/src/gateway/feed/readers.rs
@@ -232,7 +232,8 @@
                 .on_log_restored(clock::now());
             // The list may show targets as ready that are draining, until they write again.
             self.shared.targets_read_at.set(None);
-            self.shared.answering_since.set(Some(clock::now()));
+            let answering = &self.shared.answering_since;
+            answering.set(answering.get().and(Some(clock::now())));
         }
         let before = self.shared.registry.borrow().generation();
         let entries = records
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -22,7 +22,7 @@
 use tokio::sync::mpsc;
 
 use self::cache::TopicCache;
-pub(crate) use self::exchange::{accept, fetch};
+pub(crate) use self::exchange::{accept, fetch, fetch_all};
 use crate::clock;
 use crate::gateway::adapter::{self, Topic};
 use crate::gateway::feed;
--- a/src/gateway/relay/cache.rs
+++ b/src/gateway/relay/cache.rs
@@ -16,6 +16,8 @@
 pub struct TopicCache {
     /// Offset from which on no record is missing here; `None` while the cache is empty.
     complete_from: Option<model::Offset>,
+    /// The cache has the newest record of each key, however old.
+    complete: bool,
     /// Offset that follows the last record.
     next: model::Offset,
     /// Offset and value of the newest record of each key.
@@ -31,6 +33,7 @@
         self.newest.clear();
         self.removed = 0;
         self.complete_from = Some(next);
+        self.complete = true;
         self.next = next;
         self.insert(records);
     }
@@ -45,6 +48,7 @@
     ) {
         if self.complete_from.is_none() || from > self.next {
             self.complete_from = Some(from);
+            self.complete = false;
         }
         self.next = self.next.max(next);
         self.insert(records);
@@ -74,6 +78,16 @@
         self.complete_from = self.complete_from.max(Some(last_dropped.next()));
     }
 
+    /// Returns the newest records of all keys, in order, and the offset that follows them;
+    /// `None` if some may be missing here.
+    pub fn all(&self) -> Option<(Vec<adapter::Record>, model::Offset)> {
+        if !self.complete {
+            return None;
+        }
+        let present = self.newest.iter().filter(|(_, (_, value))| value.is_some());
+        Some((Self::in_order(present), self.next))
+    }
+
     /// Returns the newest records from offset `from` on, in order, and the offset
     /// that follows them; `None` if some may be missing here.
     pub fn since(&self, from: model::Offset) -> Option<(Vec<adapter::Record>, model::Offset)> {
@@ -84,7 +98,14 @@
             .newest
             .iter()
             .filter(|(_, (offset, _))| *offset >= from);
-        let mut records: Vec<_> = newer
+        Some((Self::in_order(newer), self.next))
+    }
+
+    /// Returns entries of the cache as records in the order of their offsets.
+    fn in_order<'c>(
+        entries: impl Iterator<Item = (&'c Arc<str>, &'c (model::Offset, Option<Bytes>))>,
+    ) -> Vec<adapter::Record> {
+        let mut records: Vec<_> = entries
             .map(|(key, (offset, value))| adapter::Record {
                 offset: *offset,
                 key: Arc::clone(key),
@@ -92,6 +113,6 @@
             })
             .collect();
         records.sort_unstable_by_key(|record| record.offset);
-        Some((records, self.next))
+        records
     }
 }
--- a/src/gateway/relay/exchange.rs
+++ b/src/gateway/relay/exchange.rs
@@ -28,6 +28,9 @@
 /// Timeout for the head of an answer and for each further part of it.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Last part of the path of a request for the newest records of all keys.
+const ALL_RECORDS: &str = "all";
+
 /// Longest answer that is accepted, after decompression.
 const MAX_ANSWER_BYTES: u64 = 64 << 20;
 
@@ -35,7 +38,8 @@
 /// same ones at once.
 #[derive(Debug)]
 pub(super) struct CachedResponse {
-    from: model::Offset,
+    /// Offset from which records were requested; `None` for the newest of all keys.
+    from: Option<model::Offset>,
     next: model::Offset,
     body: Bytes,
 }
@@ -47,12 +51,27 @@
     topic: Topic,
     from: model::Offset,
 ) -> Option<adapter::Batch> {
+    let path = format!("/records/{}/{}", topic.index(), from.0);
+    let relayed = request(shared, &path).await?;
+    (relayed.continuity(from) == super::Continuity::Next).then(|| relayed.into_batch())
+}
+
+/// Asks the reader for the newest records of all keys of a topic in the era `era` of the log
+/// or a later one. Returns `None` if no reader is known, if it does not answer in time, or if
+/// it has not read the topic in that era.
+pub(crate) async fn fetch_all(shared: &Shared, topic: Topic, era: u64) -> Option<adapter::Batch> {
+    let path = format!("/records/{}/{ALL_RECORDS}", topic.index());
+    let batch = request(shared, &path).await?.into_batch();
+    (batch.next.era() >= era).then_some(batch)
+}
+
+/// Sends a request for records to the reader. Returns `None` if no reader is known, or if it
+/// does not answer in time.
+async fn request(shared: &Shared, path: &str) -> Option<Relayed> {
     let reader = shared.relay.borrow().reader.clone()?;
     let address = shared.peers.borrow().address(&reader)?;
     let mut request = http::Request::new(Bytes::new());
-    *request.uri_mut() = format!("/records/{}/{}", topic.index(), from.0)
-        .parse()
-        .ok()?;
+    *request.uri_mut() = path.parse().ok()?;
     let host = address.to_string().parse().ok()?;
     request.headers_mut().insert(http::header::HOST, host);
     let timeouts = client::ResponseTimeouts {
@@ -67,8 +86,7 @@
     let answer = answer.ok().filter(|answer| answer.status() == 200)?;
     let relayed = decode(answer.body());
     let relayed = relayed.inspect_err(|error| log::warn!("records of {reader}: {error}"));
-    let relayed = relayed.ok()?;
-    (relayed.continuity(from) == super::Continuity::Next).then(|| relayed.into_batch())
+    relayed.ok()
 }
 
 /// Encodes and compresses a batch of records.
@@ -125,18 +143,27 @@
     response
 }
 
-/// Returns the topic and offset of a path such as `/records/1/250`.
-fn parse_path(path: &str) -> Option<(Topic, model::Offset)> {
+/// Returns the topic and offset of a path such as `/records/1/250`; for `/records/1/all`, no
+/// offset.
+fn parse_path(path: &str) -> Option<(Topic, Option<model::Offset>)> {
     let (topic, from) = path.strip_prefix("/records/")?.split_once('/')?;
     let topic = Topic::ALL.get(topic.parse::<usize>().ok()?)?;
-    Some((*topic, model::Offset(from.parse().ok()?)))
+    let from = match from {
+        ALL_RECORDS => None,
+        from => Some(model::Offset(from.parse().ok()?)),
+    };
+    Some((*topic, from))
 }
 
-/// Returns the encoded records of a topic from `from` on, or `None` if some may be
-/// missing here.
-fn records(shared: &Shared, topic: Topic, from: model::Offset) -> Option<Bytes> {
+/// Returns the encoded records of a topic from `from` on, or the newest of all keys if `from`
+/// is `None`. Returns `None` if some may be missing here.
+fn records(shared: &Shared, topic: Topic, from: Option<model::Offset>) -> Option<Bytes> {
     let mut relay = shared.relay.borrow_mut();
-    let (records, next) = relay.caches[topic.index()].since(from)?;
+    let cache = &relay.caches[topic.index()];
+    let (records, next) = match from {
+        Some(from) => cache.since(from)?,
+        None => cache.all()?,
+    };
     let cached = &relay.responses[topic.index()];
     let cached = cached
         .as_ref()
@@ -145,9 +172,16 @@
         return Some(cached.body.clone());
     }
     let started = clock::now();
-    let body = encode(&Relayed::new(topic, from, next, next, records)).ok()?;
+    let body = encode(&Relayed::new(
+        topic,
+        from.unwrap_or_default(),
+        next,
+        next,
+        records,
+    ))
+    .ok()?;
     log::debug!(
-        "records of {topic:?} from {from} to {next}: {} bytes after {} ms",
+        "records of {topic:?} from {from:?} to {next}: {} bytes after {} ms",
         body.len(),
         clock::now().since(started)
     );
--- a/tests/gateway_relay.rs
+++ b/tests/gateway_relay.rs
@@ -312,6 +312,12 @@
             fold(&mut all, &log);
             prop_assert_eq!(received, all);
         }
+        let (records, next) = cache.all().expect("the newest records");
+        prop_assert_eq!(next, Offset(log.len() as u64));
+        let (mut received, mut all) = (BTreeMap::new(), BTreeMap::new());
+        fold(&mut received, &records);
+        fold(&mut all, &log);
+        prop_assert_eq!(received, all);
     }
 }
 
@@ -320,10 +326,12 @@
 #[test]
 fn cache_gap_and_removals() {
     let mut cache = TopicCache::default();
-    assert!(cache.since(Offset(0)).is_none());
+    assert!(cache.since(Offset(0)).is_none() && cache.all().is_none());
+    cache.replace(&[record(3, 1, Some(1))], Offset(4));
+    assert_eq!(cache.all().expect("records").0.len(), 1);
     cache.extend(Offset(5), Offset(6), &[record(5, 1, Some(1))]);
     cache.extend(Offset(8), Offset(9), &[record(8, 2, Some(2))]);
-    assert!(cache.since(Offset(6)).is_none());
+    assert!(cache.since(Offset(6)).is_none() && cache.all().is_none());
     assert_eq!(cache.since(Offset(8)).expect("records").0.len(), 1);
     for offset in 9..20_009 {
         let key = format!("gone-{offset}").as_str().into();
