Take the newest records from the reader while own full reads fail

What callers could see: a daemon whose own calls the log refuses after a restore (or that lost its position otherwise) gets neither configurations nor entries, although its reader passes them on (CONFIG, DRAIN).

Cause: without a position, a daemon repeats full reads of its own and ignores what is passed on, since this continues from a position.

Change: after a failed full read, a daemon with a reader asks it for the newest records of all keys, and reads the log itself only if the reader lacks them.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -310,6 +310,10 @@
     let mut reads = Reads::new();
     loop {
         let pause = match position.from {
+            None if position.failures > 0 && shared.has_reader_of(plan.topic) => {
+                reads.cancel();
+                fetch_all(&shared, &plan, &mut position, &mut handler).await
+            }
             None => {
                 reads.cancel();
                 read_all(&shared, &plan, &mut position, &mut handler).await
@@ -413,8 +417,26 @@
     (position.from?.era() < era).then_some(era)
 }
 
-/// Applies the newest records of all keys, which the reader has read since the log was
-/// restored.
+/// Applies the newest records of all keys that the reader has, or else reads them from the
+/// log; returns the pause before the next read in milliseconds.
+async fn fetch_all(
+    shared: &Rc<Shared>,
+    plan: &Plan,
+    position: &mut Position,
+    handler: &mut impl Handler,
+) -> u64 {
+    let offset = shared.relay.borrow().reader_offset(plan.topic);
+    let era = offset.map_or(0, model::Offset::era);
+    match relay::fetch_all(shared, plan.topic, era).await {
+        Some(batch) => {
+            replace_relayed(shared, plan, position, batch, handler);
+            0
+        }
+        None => read_all(shared, plan, position, handler).await,
+    }
+}
+
+/// Applies the newest records of all keys that the reader has passed on.
 fn replace_relayed(
     shared: &Rc<Shared>,
     plan: &Plan,
@@ -424,10 +446,7 @@
 ) {
     let next = batch.next;
     let topic = plan.topic.label();
-    log::info!(
-        "{topic}: the log was restored from a copy; its era is {}",
-        next.era()
-    );
+    log::info!("{topic}: applying the reader's newest records, up to offset {next}");
     let mut relay = shared.relay.borrow_mut();
     relay.replace_cache(plan.topic, &batch.records, next);
     drop(relay);
