Don't restart the wait for a takeover when its read shows a known record

What callers saw: keys of a lost coordinator's orders lapse a second longer than needed: a daemon that follows a reader took over 2 s after the last heartbeat, not 1 s.

Cause: such a daemon's state machine learns the newest record only by the read that precedes its takeover, and took the record for a sign of life of its writer.

Change: a record restarts the wait only if heartbeats have not announced it.

The takeover is as safe as before: it depends on the read and the conditional append, not on the wait.

--- a/src/gateway/coordinator/takeover.rs
+++ b/src/gateway/coordinator/takeover.rs
@@ -116,8 +116,11 @@
             self.earlier_leases = None;
         } else if !own {
             self.earlier_leases = None;
-            self.peer.last_heartbeat = now;
-            self.peer.confirmed = now;
+            // A record that heartbeats have announced does not show that its writer still runs.
+            if self.peer.offset < Some(offset) {
+                self.peer.last_heartbeat = now;
+                self.peer.confirmed = now;
+            }
             self.failures.clear();
         } else if self.earlier_leases.is_none() {
             // Leases by lost records may last even if a restored log has no record.
--- a/tests/gateway_coordinator.rs
+++ b/tests/gateway_coordinator.rs
@@ -115,6 +115,40 @@
     assert_eq!(other.confirmed_age(Millis(3_000)), Some(3_000));
 }
 
+/// Guards against a takeover that waits for a second heartbeat timeout: a daemon that follows
+/// a reader learns the newest record only when it reads before the takeover.
+#[test]
+fn poll_takeover_unread_record() {
+    let mut rig = Rig::new(vec![ready("a"), ready("b")]);
+    rig.run(10, done);
+    let table = rig.coordinator.table().unwrap().clone();
+    let incarnation = model::Incarnation(2);
+    let mut other = coordinator::Coordinator::new("h1".into(), incarnation, Millis(0));
+    other.on_targets(Millis(0), None, vec![ready("a"), ready("b")], services());
+    let (offset, end) = (model::Offset(7), model::Offset(8));
+    let mut taken = None;
+    for now in (0..4_000).map(Millis) {
+        if now.0.is_multiple_of(250) && now.0 <= 1_000 {
+            other.on_heartbeat(now, "h0".into(), model::Incarnation(1), offset, Some(0));
+        }
+        for action in other.poll(now, 0) {
+            match action {
+                coordinator::Action::Read if now.0 < 1_000 => {
+                    let (offset, end) = (model::Offset(0), model::Offset(1));
+                    other.on_record(now, now, offset, end, Some(table.clone()));
+                }
+                coordinator::Action::Read => {
+                    other.on_record(now, now, offset, end, Some(table.clone()));
+                }
+                coordinator::Action::Append { .. } => taken = taken.or(Some(now.0)),
+                order => panic!("an order without authority: {order:?}"),
+            }
+        }
+    }
+    let taken = taken.expect("no daemon took over");
+    assert!((2_000..2_300).contains(&taken), "took over at {taken} ms");
+}
+
 /// Guards against an order that is written after the coordinator's authority has ended,
 /// because its connection took long to open.
 #[test]
