Count only refusals that certainly answer their request

What callers saw: a target that wrote an earlier refusal once more on a kept connection made the gateway answer 503 ("not run, try again") for non-idempotent requests that the target ran, or send them to a second target, where they ran again.

Cause: a refusal counted as proof if its identifier was that of the request, or if it had none. A caller that sends again after a 503 uses the same identifier, and the gateway sends a keyed request up to three times to the same owner; so an earlier refusal on the connection named the later request too. Refusals without an identifier matched any request.

Change: a refusal counts only if nothing came before the head of the request was written, and if it names the request on a connection that carries each identifier once, or is the first answer on its connection. Any other one counts as "may have run": idempotent requests are tried again, others get 502. docs/design.md gives the options.

--- a/src/gateway/exchange/attempt.rs
+++ b/src/gateway/exchange/attempt.rs
@@ -191,13 +191,18 @@
     let headers = response.headers();
     let refused = shared.adapter.is_not_executed(response.status(), headers);
     // A refusal may come from a target that did not read the identifier.
-    let anonymous = refused && !headers.contains_key(&names.request);
-    if is_mismatched(shared, request, headers) && !anonymous {
-        guard.finish(choice::AttemptOutcome::Failed, None);
-        return AttemptResult::Failed(response::unknown_outcome(
-            502,
-            "the answer belongs to another request",
-        ));
+    let named = headers.contains_key(&names.request);
+    if is_mismatched(shared, request, headers) && (named || !refused) {
+        return fail(guard, "the answer belongs to another request");
+    }
+    let origin = response.extensions().get();
+    let origin = origin.copied().unwrap_or(client::Origin::Early);
+    match origin {
+        client::Origin::Early => return fail(guard, "the answer came before the request"),
+        client::Origin::Later if refused && !named => {
+            return fail(guard, "the refusal may belong to an earlier request");
+        }
+        client::Origin::First | client::Origin::Later => {}
     }
     let load = headers.get(&names.load);
     let load = load.and_then(|value| shared.adapter.parse_load(value.to_str().ok()?));
@@ -217,6 +222,12 @@
     ))
 }
 
+/// Ends an attempt whose response does not certainly answer the request.
+fn fail(guard: &AttemptGuard<'_>, why: &'static str) -> AttemptResult {
+    guard.finish(choice::AttemptOutcome::Failed, None);
+    AttemptResult::Failed(response::unknown_outcome(502, why))
+}
+
 /// Returns whether a response has another request identifier than the request
 /// that was sent.
 fn is_mismatched(shared: &Shared, request: &ResolvedRequest, headers: &http::HeaderMap) -> bool {
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -122,8 +122,9 @@
             peers: RefCell::new(peers::Directory::new(settings.host.clone())),
             settings,
             incarnation: model::Incarnation(rand::random()),
+            client: client::Client::with_counter(counters.connections.clone())
+                .with_identifier(adapter.names().request.clone()),
             adapter,
-            client: client::Client::with_counter(counters.connections.clone()),
             catalog: RefCell::default(),
             drained_domains: RefCell::default(),
             registry: RefCell::default(),
