Answer requests that can't end in the grace period

What callers saw: in a planned stop, requests that were still running, were waiting for the owner of their key, or whose body was still arriving when 93% of the grace period had passed, got a closed connection and no answer. Among them were requests that came during the grace period and were taken although they could not end in it.

Cause: a stopping daemon took every request on connections that it had accepted, and its process ended at 93% of the grace period whatever was in progress.

Change: a stopping daemon takes a request only if its deadline, or three times the mean work of its route, ends before 93% of the grace period, and refuses others at once with 503 and "Connection: close". At 93% requests in progress are answered: 504 if they may have run, else 503. Responses have until 96% to be sent (they had 50 ms after 93%).

Before: request_late_long, request_running_long, request_waiting_long and request_body_incomplete each got a closed connection in place of a response. After: they pass, as do request_late_short (requests that end in time are still taken; green before as well) and shutdown_requests_running. Seen red with parts disabled: request_late_long (504 in place of 503) when every request is taken, request_late_short (503 in place of 504) when none is, the other three without the answers at 93%.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -43,6 +43,7 @@
 use tokio::sync::watch;
 
 use crate::clock;
+use crate::gateway::exchange::stop;
 use crate::gateway::shared::Shared;
 use crate::logging;
 
@@ -51,9 +52,6 @@
 /// connections after two failed checks.
 const ACCEPT_CLOSE_DELAY_MS: u64 = 2_500;
 
-/// Share of the grace period in which requests may still finish.
-const REQUEST_GRACE_SHARE: f64 = 0.93;
-
 /// Interval between checks for open connections during the shutdown.
 const SHUTDOWN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -157,17 +155,20 @@
 }
 
 /// Shuts the daemon down: reports not ready, closes the listener after a delay,
-/// and waits for open connections until the grace period is nearly over.
+/// and waits for open connections until the grace period is nearly over. Requests that
+/// have not ended by then are answered before.
 async fn shut_down(shared: &Shared, close: watch::Sender<bool>) {
     let start = clock::now();
-    let deadline = (shared.settings.bounds.grace.0 as f64 * REQUEST_GRACE_SHARE) as u64;
+    let stop = stop::Stop::new(start, shared.settings.bounds.grace.0);
     log::info!("stopping");
     shared.stopping.set(true);
-    tokio::time::sleep(Duration::from_millis(ACCEPT_CLOSE_DELAY_MS.min(deadline))).await;
+    shared.stop.send_replace(Some(stop));
+    let delay = ACCEPT_CLOSE_DELAY_MS.min(stop.answer_at.since(start));
+    tokio::time::sleep(Duration::from_millis(delay)).await;
     // Fails only if the listener and all connections have already ended.
     let _ = close.send(true);
     // A connection closes once its current response has been written.
-    while shared.connections.get() > 0 && clock::now().since(start) < deadline {
+    while shared.connections.get() > 0 && clock::now() < stop.cut_at {
         tokio::time::sleep(SHUTDOWN_POLL_INTERVAL).await;
     }
     tokio::time::sleep(FLUSH_DELAY).await;
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -6,6 +6,7 @@
 mod head;
 mod response;
 mod selection;
+pub mod stop;
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -195,8 +196,12 @@
     let timeout = timeout.saturating_sub(RESPONSE_MARGIN_MS.min(timeout / RESPONSE_MARGIN_DIVISOR));
     let limit = timeout.min(route.timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS));
     let body = read_body(shared, guard, &catalog, body);
-    let body = tokio::time::timeout(Duration::from_millis(limit), body).await;
-    let body = body.unwrap_or(Err(Refusal::Unavailable("the body did not arrive in time")))?;
+    let body = tokio::time::timeout(Duration::from_millis(limit), body);
+    let body = tokio::select! {
+        biased;
+        body = body => body.unwrap_or(Err(Refusal::Unavailable("the body did not arrive in time"))),
+        () = stop::answer_time(shared) => Err(Refusal::Unavailable("the daemon stops")),
+    }?;
     let service = pick_service(shared, &catalog, &route)?;
     let key = match service.keyed {
         true => Some(
@@ -277,18 +282,31 @@
 
 /// Sends the request to targets until there is a response or its deadline passes.
 async fn execute(shared: &Rc<Shared>, request: &ResolvedRequest) -> http::Response<Body> {
+    let stop = *shared.stop.borrow();
+    if stop.is_some_and(|stop| !stop.takes(clock::now(), request.deadline, request.work_ms)) {
+        return refuse(shared, "the daemon stops");
+    }
     budget::on_request(shared, &request.service.name);
     count_demand(shared, request);
     let timeout = Duration::from_millis(request.deadline.since(clock::now()));
     let sent = Cell::new(false);
-    match tokio::time::timeout(timeout, try_targets(shared, request, &sent)).await {
-        Ok(response) => response,
-        Err(_) if sent.get() => {
-            counters::increment(&shared.counters.unknown);
-            response::unknown_outcome(504, "no answer in time")
+    let (unknown, unsent) = tokio::select! {
+        biased;
+        response = tokio::time::timeout(timeout, try_targets(shared, request, &sent)) => {
+            match response {
+                Ok(response) => return response,
+                Err(_) => ("no answer in time", "no target in time"),
+            }
         }
-        Err(_) => refuse(shared, "no target in time"),
+        () = stop::answer_time(shared) => {
+            ("no answer before the daemon stops", "no target before the daemon stops")
+        }
+    };
+    if sent.get() {
+        counters::increment(&shared.counters.unknown);
+        return response::unknown_outcome(504, unknown);
     }
+    refuse(shared, unsent)
 }
 
 /// Adds the work of a keyed request to the load of its key range, for the coordinator.
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use tokio::net::UdpSocket;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::clock;
 use crate::gateway::adapter;
@@ -16,6 +16,7 @@
 use crate::gateway::choice;
 use crate::gateway::client;
 use crate::gateway::counters;
+use crate::gateway::exchange::stop;
 use crate::gateway::history;
 use crate::gateway::keys;
 use crate::gateway::peers;
@@ -92,6 +93,8 @@
     pub peers: RefCell<peers::Directory>,
     /// Whether the daemon is shutting down.
     pub stopping: Cell<bool>,
+    /// Shutdown in progress.
+    pub stop: watch::Sender<Option<stop::Stop>>,
     /// Number of open connections of callers.
     pub connections: Cell<usize>,
     /// Number of requests in progress.
@@ -148,6 +151,7 @@
             wake_coordinator: Notify::new(),
             key_demand: RefCell::default(),
             stopping: Cell::default(),
+            stop: watch::Sender::default(),
             connections: Cell::default(),
             in_flight: Cell::default(),
             body_bytes: Cell::default(),
