Serve requests received before a stop closes connections

What callers saw: when a stopping daemon closed its listener and its idle connections, 2.5 s after the signal, requests that its host had already received there got a reset and no answer.

Cause: closing a listener resets the connections that the host has opened and that wait to be accepted. An idle connection was closed without a look at its socket, which resets it if data is waiting.

Change: connections that wait when the listener closes are accepted. Idle connections are read for 100 ms more before they are closed; a connection on which a request has begun by then closes after its answer.

Before: connection_not_accepted and request_on_idle_connection (a process paused around the close, 8 connections each) got a closed connection in place of a response. A request that reaches the host after the close of its idle connection still gets no answer.

--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -23,6 +23,10 @@
 /// Pause after a failed accept.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(10);
 
+/// Time from the close of the listener until idle connections are closed. Requests
+/// that the host received before are read in this time; the close would reset them.
+const IDLE_CLOSE_DELAY: Duration = Duration::from_millis(100);
+
 /// Opens a TCP listener on `address`, even while closed connections there are in
 /// TIME_WAIT.
 ///
@@ -38,7 +42,7 @@
     socket.listen(BACKLOG)
 }
 
-/// Accepts connections until `closing` changes. Each connection then closes after
+/// Accepts connections until `closing` becomes true. Each connection then closes after
 /// its current response.
 pub(crate) async fn accept(
     shared: Rc<Shared>,
@@ -48,7 +52,7 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = closing.changed() => return,
+            _ = closing.changed() => break,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -59,6 +63,23 @@
             Err(_) => tokio::time::sleep(ACCEPT_RETRY_PAUSE).await,
         }
     }
+    for stream in accept_waiting(listener) {
+        tokio::task::spawn_local(serve(Rc::clone(&shared), stream, closing.clone()));
+    }
+}
+
+/// Closes the listener, and returns the connections that the host had opened before:
+/// closing it would reset them, and the requests on them would get no answer.
+fn accept_waiting(listener: TcpListener) -> Vec<TcpStream> {
+    let Ok(listener) = listener.into_std() else {
+        return Vec::new();
+    };
+    let waiting = std::iter::from_fn(|| listener.accept().ok());
+    let waiting = waiting.take(BACKLOG as usize).filter_map(|(stream, _)| {
+        stream.set_nonblocking(true).ok()?;
+        TcpStream::from_std(stream).ok()
+    });
+    waiting.collect()
 }
 
 /// Counts a connection as open until the guard is dropped.
@@ -77,7 +98,7 @@
     }
 }
 
-/// Serves one connection, until it ends or `closing` changes.
+/// Serves one connection, until it ends or `closing` becomes true.
 async fn serve(shared: Rc<Shared>, stream: TcpStream, mut closing: watch::Receiver<bool>) {
     let _guard = ConnectionGuard::new(&shared);
     let limits = match &*shared.catalog.borrow() {
@@ -101,9 +122,14 @@
         .max_buf_size(limits.header_bytes.max(MIN_READ_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), handler);
     let mut connection = std::pin::pin!(connection);
+    let idle_close = async {
+        // Fails only if the daemon ends.
+        let _ = closing.wait_for(|closing| *closing).await;
+        tokio::time::sleep(IDLE_CLOSE_DELAY).await;
+    };
     let result = tokio::select! {
         result = connection.as_mut() => Some(result),
-        _ = closing.changed() => None,
+        () = idle_close => None,
     };
     let result = match result {
         Some(result) => result,
