Pass on no answer whose lengths disagree

What callers saw: a target's answer with more bytes than its length was cut at the length and passed on as a whole 200, and so was an answer that stated a length and chunks of another length.

Cause: the HTTP library reads a body up to its length and treats what follows as the next message; it removes the length of an answer that also has chunks.

Change: the socket of a connection follows the head of the response and counts the bytes behind it. An answer that states a length and chunks, or behind whose head more bytes came than its length, is marked as Origin::Misframed, and the request gets 502, since it may have run. A large answer that is passed on in parts ends as cut. Only bytes that arrive with the answer are seen.

Before: lengths_disagree saw 200 "wh" for a length of 5 with chunks of 2, and for a length of 2 with 5 bytes on a connection to be closed. After: it passes with all six cases. With the counting disabled it sees 200 "wh" for both longer answers, and answer_large_longer gets 3,145,728 bytes in place of a failure; with interim responses counted, answer_longer is red. cut_with_length and cut_with_chunks (a break at each byte) and cut_without_length (a reset) passed before as well and stay as proof.

--- a/src/gateway/client.rs
+++ b/src/gateway/client.rs
@@ -117,6 +117,9 @@
     /// The peer sent data before the head of the request was written completely, so
     /// that the response does not answer the request.
     Early,
+    /// More bytes came than the response's length allows, or it states both a length and
+    /// chunks, so that its body may not be what the peer meant.
+    Misframed,
 }
 
 /// Body of a response.
@@ -130,6 +133,8 @@
 /// Rest of a large body. Dropping it closes the connection.
 pub struct Stream {
     incoming: Incoming,
+    progress: Rc<wire::Progress>,
+    length: Option<u64>,
     _driver: Driver,
 }
 
@@ -137,10 +142,14 @@
     /// Returns the next part of the body, or `None` at its end.
     ///
     /// # Errors
-    /// Returns [`Failure::Broken`] if the connection broke before the end.
+    /// Returns [`Failure::Broken`] if the connection broke before the end, or if more
+    /// bytes came than the response's length allows.
     pub async fn next(&mut self) -> Option<Result<Bytes, Failure>> {
         loop {
-            let frame = self.incoming.frame().await?;
+            let Some(frame) = self.incoming.frame().await else {
+                let is_longer = self.progress.is_longer(self.length.take());
+                return is_longer.then_some(Err(Failure::Broken));
+            };
             let Ok(frame) = frame else {
                 return Some(Err(Failure::Broken));
             };
@@ -392,7 +401,7 @@
         // took no byte of it. A new connection gets no second try.
         let copy = (origin == Origin::Later).then(|| request.clone());
         let response = connection.sender.try_send_request(request);
-        let mut response = match with_timeout(timeouts.head, response).await {
+        let response = match with_timeout(timeouts.head, response).await {
             Ok(Ok(response)) => response,
             Err(failure) => return Err((failure, None)),
             Ok(Err(mut error)) => {
@@ -405,13 +414,15 @@
                 return Err((failure, unsent));
             }
         };
-        response
-            .extensions_mut()
-            .insert(match connection.progress.is_early() {
-                true => Origin::Early,
+        let (mut parts, mut incoming) = response.into_parts();
+        let length = stated_length(&parts.headers);
+        parts
+            .extensions
+            .insert(match connection.progress.has_two_framings() {
+                true => Origin::Misframed,
+                false if connection.progress.is_early() => Origin::Early,
                 false => origin,
             });
-        let (parts, mut incoming) = response.into_parts();
         let mut bytes = bytes::BytesMut::new();
         loop {
             let frame = with_timeout(timeouts.part, incoming.frame()).await;
@@ -425,12 +436,17 @@
             if bytes.len() > MAX_WHOLE_BYTES {
                 let stream = Stream {
                     incoming,
+                    progress: connection.progress,
+                    length,
                     _driver: connection.driver,
                 };
                 let body = Body::Partial(bytes.freeze(), stream);
                 return Ok((http::Response::from_parts(parts, body), None));
             }
         }
+        if connection.progress.is_longer(length) {
+            parts.extensions.insert(Origin::Misframed);
+        }
         let body = Body::Whole(bytes.freeze());
         Ok((http::Response::from_parts(parts, body), Some(connection)))
     }
@@ -476,6 +492,12 @@
     part.map_err(|_| Failure::Broken)
 }
 
+/// Returns the length that a response states for its body.
+fn stated_length(headers: &http::HeaderMap) -> Option<u64> {
+    let length = headers.get(http::header::CONTENT_LENGTH)?;
+    length.to_str().ok()?.parse().ok()
+}
+
 /// Returns how long a connection may be used after a response, in milliseconds.
 fn idle_time(headers: &http::HeaderMap) -> u64 {
     let named = headers
--- a/src/gateway/client/wire.rs
+++ b/src/gateway/client/wire.rs
@@ -1,6 +1,6 @@
 //! Socket of a connection, which observes how a request and its response overlap.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
 use std::pin::Pin;
@@ -10,9 +10,75 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// Bytes that end the head of a request.
+/// Bytes that end the head of a message.
 const HEAD_END: &[u8; 4] = b"\r\n\r\n";
 
+/// Index in a response of the first digit of its status, after `HTTP/1.1 `.
+const STATUS_INDEX: usize = 9;
+
+/// First digit of the status of an interim response.
+const INTERIM_DIGIT: u8 = b'1';
+
+/// Returns how many bytes of [`HEAD_END`] are at the end once `byte` follows `matched`
+/// of them.
+fn advance(matched: usize, byte: u8) -> usize {
+    match byte {
+        byte if byte == HEAD_END[matched] => matched + 1,
+        b'\r' => 1,
+        _ => 0,
+    }
+}
+
+/// Position in the response to a request.
+#[derive(Debug, Default)]
+struct Position {
+    /// Head of the response as far as it was read.
+    head: Vec<u8>,
+    /// Number of bytes of [`HEAD_END`] at its end.
+    matched: usize,
+    /// Bytes after the head, once it is complete.
+    body: Option<u64>,
+}
+
+impl Position {
+    /// Begins the next response.
+    fn begin(&mut self) {
+        self.head.clear();
+        self.matched = 0;
+        self.body = None;
+    }
+
+    /// Reads bytes that follow. An interim response is skipped.
+    fn advance(&mut self, bytes: &[u8]) {
+        let mut rest = bytes.iter();
+        while self.body.is_none() {
+            let Some(byte) = rest.next() else {
+                return;
+            };
+            self.head.push(*byte);
+            self.matched = advance(self.matched, *byte);
+            if self.matched == HEAD_END.len() {
+                match self.head.get(STATUS_INDEX) {
+                    Some(&INTERIM_DIGIT) => self.begin(),
+                    _ => self.body = Some(0),
+                }
+            }
+        }
+        let count = rest.as_slice().len() as u64;
+        self.body = self.body.map(|body| body + count);
+    }
+
+    /// Returns whether the head has a header named `name`.
+    fn has_header(&self, name: &str) -> bool {
+        let mut lines = self.head.split(|byte| *byte == b'\n');
+        lines.any(|line| {
+            let start = line.get(..name.len());
+            start.is_some_and(|start| start.eq_ignore_ascii_case(name.as_bytes()))
+                && line.get(name.len()) == Some(&b':')
+        })
+    }
+}
+
 /// Progress of the request on a connection.
 #[derive(Debug, Default)]
 pub(super) struct Progress {
@@ -22,6 +88,8 @@
     matched: Cell<usize>,
     /// Whether data of the peer was there before the head was written completely.
     early: Cell<bool>,
+    /// Position in the response.
+    position: RefCell<Position>,
 }
 
 impl Progress {
@@ -30,6 +98,31 @@
         self.written.set(false);
         self.matched.set(0);
         self.early.set(false);
+        self.position.borrow_mut().begin();
+    }
+
+    /// Returns whether more bytes than `length` have come after the response's head.
+    pub(super) fn is_longer(&self, length: Option<u64>) -> bool {
+        let body = self.position.borrow().body.unwrap_or(0);
+        length.is_some_and(|length| body > length)
+    }
+
+    /// Returns whether the head of the response states both a length and chunks. The HTTP
+    /// library removes the length.
+    pub(super) fn has_two_framings(&self) -> bool {
+        let position = self.position.borrow();
+        position.has_header("content-length") && position.has_header("transfer-encoding")
+    }
+
+    /// Records bytes of the response.
+    fn on_read(&self, bytes: &[u8]) {
+        if bytes.is_empty() {
+            return;
+        }
+        if !self.is_head_written() {
+            self.early.set(true);
+        }
+        self.position.borrow_mut().advance(bytes);
     }
 
     /// Returns whether any byte of the request may have left.
@@ -58,11 +151,7 @@
             if matched == HEAD_END.len() {
                 return;
             }
-            self.matched.set(match *byte {
-                byte if byte == HEAD_END[matched] => matched + 1,
-                b'\r' => 1,
-                _ => 0,
-            });
+            self.matched.set(advance(matched, *byte));
         }
     }
 
@@ -110,9 +199,7 @@
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
-        if buffer.filled().len() > before && !self.progress.is_head_written() {
-            self.progress.early.set(true);
-        }
+        self.progress.on_read(&buffer.filled()[before..]);
         Poll::Ready(Ok(()))
     }
 }
--- a/src/gateway/exchange/attempt.rs
+++ b/src/gateway/exchange/attempt.rs
@@ -198,6 +198,7 @@
     let origin = response.extensions().get();
     let origin = origin.copied().unwrap_or(client::Origin::Early);
     match origin {
+        client::Origin::Misframed => return fail(guard, "the answer's lengths disagree"),
         client::Origin::Early => return fail(guard, "the answer came before the request"),
         client::Origin::Later if refused && !named => {
             return fail(guard, "the refusal may belong to an earlier request");
--- a/tests/gateway_client/origin.rs
+++ b/tests/gateway_client/origin.rs
@@ -4,11 +4,14 @@
 use std::net::SocketAddr;
 use std::sync::mpsc;
 
-use pistachiomoor::gateway::client::{Body, Client, Origin};
+use pistachiomoor::gateway::client::{Body, Client, Failure, Origin};
 use tokio::sync::oneshot;
 
 use crate::raw::{Link, answer, serve};
-use crate::{CONNECT_TIMEOUT, ask, peer, request, run, run_aborted_tasks, serve_numbered};
+use crate::{
+    CONNECT_TIMEOUT, MAX_WHOLE_BYTES, ask, peer, read_streamed, request, run, run_aborted_tasks,
+    serve_numbered, serve_once,
+};
 
 /// Guards against an answer that lay on a kept connection before the request was
 /// written, and is returned for that request.
@@ -137,3 +140,36 @@
         }
     });
 }
+
+/// Guards against a body that is longer than its length and is taken for a whole one, and
+/// against interim responses that count towards it.
+#[test]
+fn answer_longer() {
+    let interim = "HTTP/1.1 103 -\r\ncontent-length: 1\r\n\r\n".to_owned();
+    for (text, expected) in [
+        (answer("whole", ""), Origin::First),
+        (
+            interim.clone() + &interim + &answer("whole", ""),
+            Origin::First,
+        ),
+        (answer("whole", "") + "x", Origin::Misframed),
+        (interim + &answer("whole", "") + "x", Origin::Misframed),
+    ] {
+        let address = serve_once(text.clone(), false);
+        run(async {
+            let client = Client::new();
+            let (origin, body) = identify(&client, address, "a").await;
+            assert_eq!((origin, &*body), (Some(expected), "whole"), "{text:?}");
+        });
+    }
+}
+
+/// Guards against a large body that is longer than its length and is taken for a whole
+/// one.
+#[test]
+fn answer_large_longer() {
+    let address = serve_once(answer(&"x".repeat(3 * MAX_WHOLE_BYTES), "") + "x", false);
+    run(async {
+        assert_eq!(read_streamed(address).await, Err(Failure::Broken));
+    });
+}
