Cut a large answer whose rest does not come

What callers saw: when a target stopped in the middle of an answer of more than 1 MiB without closing, the caller waited without a limit.

Cause: an answer of that size is passed on as it arrives, and the time limits of the request end with its head.

Change: each further part has to arrive within 10 s; otherwise the answer ends as cut.

Before: large_falls_silent saw no end after 12.0 s. After: it passes, and is red again with a limit of 100 s (no end after 12.0 s).

--- a/src/gateway/exchange/attempt.rs
+++ b/src/gateway/exchange/attempt.rs
@@ -23,6 +23,10 @@
 /// Timeout of connections to targets in other regions, in milliseconds.
 const REMOTE_CONNECT_TIMEOUT_MS: u64 = 300;
 
+/// Time within which each further part of a large response body has to arrive. Its
+/// caller waits no longer for a target that stopped in the middle.
+const PART_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Chunks of a large response body that are buffered for the caller.
 const BUFFERED_CHUNKS: usize = 4;
 
@@ -315,7 +319,8 @@
             if sender.send(chunk).await.is_err() {
                 return;
             }
-            next = rest.next().await;
+            let part = tokio::time::timeout(PART_TIMEOUT, rest.next()).await;
+            next = part.unwrap_or(Some(Err(client::Failure::Broken)));
         }
     });
     Body::Streamed(receiver)
