Reset the caller's connection when a large answer breaks off

What callers saw: a caller with HTTP/1.0 took an answer of more than 1 MiB that broke off for a whole one.

Cause: such an answer has neither a length nor chunks for these callers, so that the close of the connection marks the end of its body, and a cut answer ended with a close.

Change: the connection ends with a reset if the body of a response ended early. The listener shares the socket with the HTTP library for this.

Before: large_cut saw a close in place of a reset with HTTP/1.0.

--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -1,5 +1,7 @@
 //! The server for callers' connections, with graceful shutdown.
 
+mod socket;
+
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -107,6 +109,7 @@
     };
     // Responses are written in one piece, so that Nagle's algorithm only delays them.
     let _ = stream.set_nodelay(true);
+    let stream = Rc::new(stream);
     let handler = service::service_fn({
         let shared = Rc::clone(&shared);
         move |request| {
@@ -120,7 +123,7 @@
         // includes the time for which the connection is idle.
         .header_read_timeout(Duration::from_millis(limits.idle_ms.max(limits.header_ms)))
         .max_buf_size(limits.header_bytes.max(MIN_READ_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), handler);
+        .serve_connection(TokioIo::new(socket::Socket(Rc::clone(&stream))), handler);
     let mut connection = std::pin::pin!(connection);
     let idle_close = async {
         // Fails only if the daemon ends.
@@ -140,6 +143,9 @@
     };
     // Such an error comes from the response body: it ended early.
     if result.is_err_and(|error| error.is_user()) {
+        // Without a length or chunks, a caller takes a close for the end of the body.
+        // Fails only if the connection has ended.
+        let _ = stream.set_zero_linger();
         shared.on_truncated();
     }
 }
