--- a/src/gateway/client.rs
+++ b/src/gateway/client.rs
@@ -39,16 +39,6 @@
 /// Milliseconds in a second.
 const MS_PER_SECOND: u64 = 1_000;
 
-/// Time after which the system closes a connection whose sent data is not
-/// acknowledged. A peer that stops without a close shows no other sign.
-const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1_500);
-
-/// Idle time before the first keepalive probe, and time between probes.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-
-/// Keepalive probes without an acknowledgement after which a connection is closed.
-const KEEPALIVE_PROBES: u32 = 2;
-
 /// Identified requests after which a connection is not used again. It bounds the
 /// memory for their identifiers, 8 bytes each.
 const MAX_CARRIED: usize = 1_024;
@@ -527,7 +517,7 @@
         Ok(Err(_)) => return Err(Failure::Unreachable),
         Ok(Ok(stream)) => stream,
     };
-    set_options(&stream);
+    wire::set_options(&stream);
     let progress = Rc::new(wire::Progress::default());
     let stream = wire::Wire::new(stream, Rc::clone(&progress));
     let (sender, connection) = http1::handshake(TokioIo::new(stream))
@@ -546,21 +536,3 @@
         usable_until: clock::Millis(u64::MAX),
     })
 }
-
-/// Sets the socket options of a connection, among them those that detect a peer
-/// that stopped without a close.
-fn set_options(stream: &TcpStream) {
-    let socket = socket2::SockRef::from(stream);
-    let keepalive = socket2::TcpKeepalive::new()
-        .with_time(KEEPALIVE_INTERVAL)
-        .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(KEEPALIVE_PROBES);
-    // A cancelled call must not arrive later: without this option, the system
-    // goes on sending buffered data after the close.
-    let _ = socket.set_linger(Some(Duration::ZERO));
-    // These options are not required: without them, failures are only detected
-    // later.
-    let _ = socket.set_nodelay(true);
-    let _ = socket.set_tcp_keepalive(&keepalive);
-    let _ = socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
-}
--- a/src/gateway/client/wire.rs
+++ b/src/gateway/client/wire.rs
@@ -6,10 +6,21 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+/// Time after which the system closes a connection whose sent data is not
+/// acknowledged. A peer that stops without a close shows no other sign.
+const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Idle time before the first keepalive probe, and time between probes.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Keepalive probes without an acknowledgement after which a connection is closed.
+const KEEPALIVE_PROBES: u32 = 2;
+
 /// Bytes that end the head of a message.
 const HEAD_END: &[u8; 4] = b"\r\n\r\n";
 
@@ -244,3 +255,21 @@
         Pin::new(&mut self.stream).poll_shutdown(context)
     }
 }
+
+/// Sets the socket options of a connection, among them those that detect a peer
+/// that stopped without a close.
+pub(super) fn set_options(stream: &TcpStream) {
+    let socket = socket2::SockRef::from(stream);
+    let keepalive = socket2::TcpKeepalive::new()
+        .with_time(KEEPALIVE_INTERVAL)
+        .with_interval(KEEPALIVE_INTERVAL)
+        .with_retries(KEEPALIVE_PROBES);
+    // A cancelled call must not arrive later: without this option, the system
+    // goes on sending buffered data after the close.
+    let _ = socket.set_linger(Some(Duration::ZERO));
+    // These options are not required: without them, failures are only detected
+    // later.
+    let _ = socket.set_nodelay(true);
+    let _ = socket.set_tcp_keepalive(&keepalive);
+    let _ = socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
+}
