Restore the log from older copies in the model of random faults

The model's log had one era and never lost a record, so that no random property covered restores. It may now go away for 0.2 to 3 s and return as its contents of 0 to 10 s before, or without records, in the next era. Calls within 500 ms before the restore are slow, so that many are in flight: they are lost, answered late with the old era, or (appends) applied after the log's return. Records carry the era of their writer, and daemons read as the feed does: from read_offset(), or the newest record if the position is lost.

After restores the properties run on until all leases of before have ended, since keys held by these alone showed nothing about the restored log. In a later era keys must have an owner within late append (6 s, only if the faults allow one) + takeover (4.8 s) + authority (2.5 s) + longest hold (10.505 s) + grants (1.25 s); the bound of 15 s stays for worlds in era 0.

--- a/tests/gateway_coordinator.rs
+++ b/tests/gateway_coordinator.rs
@@ -20,7 +20,8 @@
 use pistachiomoor::gateway::coordinator;
 use pistachiomoor::gateway::keys;
 use pistachiomoor::model;
-use proptest::strategy::Strategy;
+use proptest::collection;
+use proptest::strategy::{self, Strategy};
 use proptest::test_runner;
 
 use self::rig::{Rig, call_of, done, grant_of, is_for, is_release, member, owner, ready, services};
@@ -443,12 +444,15 @@
     assert!(matches!(again[..], [coordinator::Action::Append { .. }]));
 }
 
-/// Guards against two owners of one key, fences that do not rise, and keys
-/// that stay without an owner, under faults of every kind.
-#[test]
-fn poll_random_faults() {
-    let cases = std::env::var("STEWARD_CASES").ok();
-    let cases = cases.and_then(|cases| cases.parse().ok()).unwrap_or(200);
+/// Runs random worlds with faults as `faults` generates them and a log that begins in an
+/// era of `eras`: `cases` of them, unless the environment gives a number.
+fn check_random(
+    cases: u32,
+    eras: impl Strategy<Value = u64> + 'static,
+    faults: impl Strategy<Value = Vec<world::Fault>> + 'static,
+) {
+    let given = std::env::var("STEWARD_CASES").ok();
+    let cases = given.and_then(|cases| cases.parse().ok()).unwrap_or(cases);
     let config = test_runner::Config {
         cases,
         failure_persistence: None,
@@ -464,12 +468,41 @@
     }
     let rng = test_runner::TestRng::from_seed(test_runner::RngAlgorithm::ChaCha, &seed);
     let mut runner = test_runner::TestRunner::new_with_rng(config, rng);
-    let faults = proptest::collection::vec(world::fault(), 0..14);
-    let strategy = (proptest::num::u64::ANY, 2..4_usize, faults);
-    let check = |(seed, daemons, faults): (u64, usize, Vec<world::Fault>)| {
-        world::World::new(seed, daemons, &faults)
+    let strategy = (proptest::num::u64::ANY, 2..4_usize, eras, faults);
+    let check = |(seed, daemons, era, faults): (u64, usize, u64, Vec<world::Fault>)| {
+        world::World::new(seed, daemons, era, &faults)
             .run()
             .map_err(test_runner::TestCaseError::fail)
     };
     runner.run(&strategy.boxed(), check).unwrap();
 }
+
+/// Guards against two owners of one key, fences that do not rise, and keys
+/// that stay without an owner, under faults of every kind.
+#[test]
+fn poll_random_faults() {
+    check_random(
+        200,
+        strategy::Just(0_u64),
+        collection::vec(world::fault(), 0..14),
+    );
+}
+
+/// Guards against the same if the log is restored from older copies.
+#[test]
+fn poll_random_restores() {
+    check_random(100, 0..2_u64, collection::vec(world::restore(), 1..5));
+}
+
+/// Guards against the same if restores meet other faults.
+#[test]
+fn poll_random_restores_faults() {
+    let fault = proptest::prop_oneof![3 => world::fault(), 1 => world::restore()];
+    check_random(150, 0..2_u64, collection::vec(fault, 1..14));
+}
+
+/// Guards against a later era that is taken for a restore by daemons that have just started.
+#[test]
+fn poll_random_first_era() {
+    check_random(50, 1..4_u64, collection::vec(world::fault(), 0..14));
+}
--- a/tests/gateway_coordinator/fault.rs
+++ b/tests/gateway_coordinator/fault.rs
@@ -14,6 +14,9 @@
     LogSlow,
     LogRefuses(usize),
     AppendsUnanswered,
+    /// The log goes away and returns as a copy of this age in milliseconds, or without
+    /// records.
+    LogRestored(Option<u64>),
     DaemonKilled(usize),
     DaemonPaused(usize),
     HeartbeatsLost,
@@ -68,3 +71,16 @@
     let times = (0..FAULT_PERIOD_MS, 100..18_000_u64);
     (times, kind).prop_map(|((at, length), kind)| Fault { at, length, kind })
 }
+
+/// Generates a restore of the log.
+pub fn restore() -> impl Strategy<Value = Fault> {
+    let age = prop_oneof![
+        6 => (0..=10_000_u64).prop_map(Some),
+        1 => Just(None),
+    ];
+    let times = (0..FAULT_PERIOD_MS, 200..=3_000_u64);
+    (times, age).prop_map(|((at, length), age)| {
+        let kind = Kind::LogRestored(age);
+        Fault { at, length, kind }
+    })
+}
--- a/tests/gateway_coordinator/model.rs
+++ b/tests/gateway_coordinator/model.rs
@@ -3,10 +3,13 @@
 
 #[path = "fault.rs"]
 mod fault;
+#[path = "log.rs"]
+mod log;
 #[path = "target.rs"]
 mod target;
 
 use std::collections::BTreeMap;
+use std::rc::Rc;
 
 use pistachiomoor::clock::Millis;
 use pistachiomoor::gateway::adapter;
@@ -17,12 +20,26 @@
 use rand::{Rng, SeedableRng};
 
 use self::fault::Kind;
-pub use self::fault::{Fault, fault};
+pub use self::fault::{Fault, fault, restore};
+use self::log::{Answer, Log};
 
 const BUCKETS: usize = 65_536 / keys::BUCKET_KEYS as usize;
 const TARGETS: usize = 4;
-/// Time after the end of all faults within which every key must have an owner.
+/// Time after the end of all faults within which every key must have an owner, if the log
+/// is in its first era.
 const RECOVERY_MS: u64 = 15_000;
+/// Longest time for which a target may hold keys: an extended lease by a clock that runs 2%
+/// slow, and the margin for orders in flight.
+const MAX_HOLD_MS: u64 = 10_205 + 300;
+/// Longest time until a daemon takes over from a log that answers: a read that was lost and
+/// its retry delay at the highest rank (1 s and 1.5 s), the age of the last confirmation
+/// from which a takeover is due (2 s), and the delay of the takeover at that rank (0.3 s).
+const TAKEOVER_MS: u64 = 1_000 + 1_500 + 2_000 + 300;
+/// Time until all keys are granted once they may be: a conflicting append, the read after it
+/// and the next append (0.5 s), and a target's first lost order with its retry (0.75 s).
+const GRANTS_MS: u64 = 500 + 750;
+/// Time after which an append of unknown outcome has taken effect, if ever.
+const LATE_APPEND_MS: u64 = 6_000;
 /// Timeout of an order to a target.
 const ORDER_TIMEOUT_MS: u64 = 500;
 /// Timeout of a call to the log.
@@ -46,11 +63,15 @@
     /// and the time at which the order arrived.
     Apply(usize, u64, coordinator::Action, u64, u64),
     Reply(usize, u64, u64, coordinator::OrderOutcome),
-    Append(usize, u64, Vec<u8>, u64, bool),
+    /// An append reaches the log; the last number is the time by which it is answered.
+    Append(usize, u64, Rc<[u8]>, model::Offset, Option<u64>),
     Appended(usize, u64, Option<adapter::AppendOutcome>),
-    Read(usize, u64, u64),
-    ReadDone(usize, u64, u64, Option<(u64, Vec<u8>)>, u64),
+    /// A read from an offset on reaches the log; the last number is the start of the read.
+    Read(usize, u64, u64, Option<model::Offset>),
+    ReadDone(usize, u64, u64, Answer),
     Unread(usize, u64),
+    /// The log returns as a copy of this age after it went away at the time given first.
+    LogRestored(u64, Option<u64>),
     Heartbeat(usize, usize, u64, Heartbeat),
     /// A daemon's acknowledgement of an outage.
     Acknowledged(usize, usize, u64),
@@ -63,7 +84,7 @@
 #[derive(Clone, Debug)]
 struct Heartbeat {
     /// Offset of the coordinator's record and age of its last confirmation.
-    claim: Option<(u64, Option<u64>)>,
+    claim: Option<(model::Offset, Option<u64>)>,
     outage: Option<u64>,
     acknowledged_age: u64,
     known: Option<model::Offset>,
@@ -98,7 +119,7 @@
     faults_end: u64,
     events: BTreeMap<(u64, u64), Event>,
     event_count: u64,
-    records: Vec<Vec<u8>>,
+    log: Log,
     daemons: Vec<Daemon>,
     targets: Vec<Target>,
     /// Last holder of each bucket: target, birth and fence.
@@ -120,8 +141,8 @@
 }
 
 impl World {
-    /// Returns a world in which `faults` occur.
-    pub fn new(seed: u64, daemons: usize, faults: &[Fault]) -> Self {
+    /// Returns a world in which `faults` occur, with an empty log of the era `era`.
+    pub fn new(seed: u64, daemons: usize, era: u64, faults: &[Fault]) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
         let ends = faults.iter().map(|fault| fault.at + fault.length);
         let daemon = |i| Daemon {
@@ -148,7 +169,7 @@
             faults_end: ends.max().unwrap_or(0),
             events: BTreeMap::new(),
             event_count: 0,
-            records: Vec::new(),
+            log: Log::new(era),
             daemons: (0..daemons).map(daemon).collect(),
             targets,
             holders: vec![None; BUCKETS],
@@ -166,26 +187,33 @@
                     world.schedule(end, Event::TargetStarts(i));
                 }
                 Kind::TargetCloses(i, _) => world.schedule(end, Event::TargetStarts(i)),
+                Kind::LogRestored(age) => world.schedule(end, Event::LogRestored(at, age)),
                 _ => {}
             }
         }
         world
     }
 
-    /// Runs until all keys have an owner after the last fault.
+    /// Runs until all keys have an owner after the last fault. After a restore of the log,
+    /// all leases of before it must have ended as well.
     ///
     /// # Errors
     /// Describes two owners of one key, a fence that did not rise, or keys without an
-    /// owner after [`RECOVERY_MS`].
+    /// owner after the time to recover.
     pub fn run(mut self) -> Result<(), String> {
-        let mut next = self.faults_end;
+        let restored = |fault: &Fault| matches!(fault.kind, Kind::LogRestored(_));
+        let settled = match self.faults.iter().any(restored) {
+            true => self.faults_end + MAX_HOLD_MS,
+            false => self.faults_end,
+        };
+        let mut next = settled;
         while let Some(((at, _), event)) = self.events.pop_first() {
             while next <= at {
                 self.now = next;
                 if self.is_held() {
                     return Ok(());
                 }
-                if next > self.faults_end + RECOVERY_MS {
+                if next > self.faults_end + self.recovery() {
                     return Err(self.recovery_error());
                 }
                 next += 50;
@@ -199,12 +227,34 @@
         Err("no daemon is running".to_owned())
     }
 
+    /// Returns the time after the end of all faults within which every key must have an
+    /// owner. In a later era than the first, the coordinator waits until all orders and
+    /// leases by lost records have ended. An append of before the end of the faults may make
+    /// another daemon the coordinator until it has taken effect, and begin the wait anew.
+    fn recovery(&self) -> u64 {
+        if self.log.era() == 0 {
+            return RECOVERY_MS;
+        }
+        let late = |fault: &Fault| {
+            matches!(
+                fault.kind,
+                Kind::LogDown | Kind::AppendsUnanswered | Kind::LogRestored(_)
+            )
+        };
+        let late = match self.faults.iter().any(late) {
+            true => LATE_APPEND_MS,
+            false => 0,
+        };
+        late + TAKEOVER_MS + coordinator::AUTHORITY_MS + MAX_HOLD_MS + GRANTS_MS
+    }
+
     fn recovery_error(&self) -> String {
         let free = (0..BUCKETS).filter(|&b| self.holder(b).is_none()).count();
-        let table = self.records.last().map(|bytes| keys::Table::decode(bytes));
         format!(
-            "{free} buckets without an owner {RECOVERY_MS} ms after the faults ended at {} ms: {table:?}",
-            self.faults_end
+            "{free} buckets without an owner {} ms after the faults ended at {} ms: {:?}",
+            self.recovery(),
+            self.faults_end,
+            self.log.newest_table()
         )
     }
 
@@ -253,6 +303,7 @@
             | Event::Apply(..)
             | Event::Append(..)
             | Event::Read(..)
+            | Event::LogRestored(..)
             | Event::DaemonStarts(_)
             | Event::TargetStarts(_)
             | Event::TargetStops(_) => None,
@@ -303,21 +354,18 @@
                 self.daemons[i].coordinator.on_ordered(now, call, reply);
                 self.poll(i);
             }
-            Event::Append(i, incarnation, table, end, answered) => {
-                self.append(i, incarnation, table, end, answered);
+            Event::Append(i, incarnation, table, end, limit) => {
+                self.append(i, incarnation, table, end, limit);
             }
             Event::Appended(i, _, answer) => {
                 self.daemons[i].coordinator.on_appended(now, answer);
                 self.poll(i);
             }
-            Event::Read(i, incarnation, started) => {
-                let offset = self.records.len().checked_sub(1);
-                let record = offset.map(|offset| (offset as u64, self.records[offset].clone()));
-                let end = self.records.len() as u64;
-                let at = self.now + self.rng.random_range(1..5);
-                self.schedule(at, Event::ReadDone(i, incarnation, started, record, end));
+            Event::Read(i, incarnation, started, from) => {
+                self.execute_read(i, incarnation, started, from);
             }
-            Event::ReadDone(i, _, started, record, end) => self.read(i, started, record, end),
+            Event::ReadDone(i, _, started, answer) => self.read_done(i, started, answer),
+            Event::LogRestored(away, age) => self.restore_log(away, age),
             Event::Unread(i, _) => {
                 self.daemons[i].coordinator.on_read_failed(now);
                 self.poll(i);
@@ -370,7 +418,7 @@
             match action {
                 coordinator::Action::Read => self.begin_read(i, incarnation),
                 coordinator::Action::Append { table, end } => {
-                    self.begin_append(i, incarnation, table, end.0)
+                    self.begin_append(i, incarnation, table, end)
                 }
                 order => {
                     let at = self.now + self.send_delay();
@@ -394,22 +442,6 @@
         }
     }
 
-    fn log_delay(&mut self) -> u64 {
-        if self.has_fault(|kind| matches!(kind, Kind::LogSlow)) {
-            self.rng.random_range(100..300)
-        } else {
-            self.rng.random_range(1..5)
-        }
-    }
-
-    fn is_log_unavailable(&self, i: usize) -> bool {
-        self.has_fault(|kind| match kind {
-            Kind::LogDown => true,
-            Kind::LogRefuses(k) => k == i,
-            _ => self.is_partitioned(i),
-        })
-    }
-
     fn is_partitioned(&self, i: usize) -> bool {
         self.has_fault(|kind| matches!(kind, Kind::Partition(k, _) if k == i))
     }
@@ -423,64 +455,6 @@
         })
     }
 
-    fn begin_read(&mut self, i: usize, incarnation: u64) {
-        let (now, delay) = (self.now, self.log_delay());
-        if self.is_log_unavailable(i) {
-            self.schedule(now + LOG_TIMEOUT_MS, Event::Unread(i, incarnation));
-        } else {
-            self.schedule(now + delay, Event::Read(i, incarnation, now));
-        }
-    }
-
-    fn begin_append(&mut self, i: usize, incarnation: u64, table: Vec<u8>, end: u64) {
-        let (now, delay) = (self.now, self.log_delay());
-        if self.has_fault(|kind| matches!(kind, Kind::LogRefuses(k) if k == i)) {
-            let refused = Some(adapter::AppendOutcome::Refused(503));
-            self.schedule(now + delay, Event::Appended(i, incarnation, refused));
-        } else if self.has_fault(|kind| matches!(kind, Kind::LogDown | Kind::AppendsUnanswered))
-            || self.is_partitioned(i)
-        {
-            if !self.is_partitioned(i) && self.rng.random_bool(0.7) {
-                let effect = now + self.rng.random_range(2..6_000);
-                self.schedule(effect, Event::Append(i, incarnation, table, end, false));
-            }
-            self.schedule(now + LOG_TIMEOUT_MS, Event::Appended(i, incarnation, None));
-        } else {
-            self.schedule(now + delay, Event::Append(i, incarnation, table, end, true));
-        }
-    }
-
-    fn append(&mut self, i: usize, incarnation: u64, table: Vec<u8>, end: u64, answered: bool) {
-        let at = self.records.len() as u64;
-        let answer = if at == end {
-            self.records.push(table);
-            adapter::AppendOutcome::Written(model::Offset(at))
-        } else {
-            adapter::AppendOutcome::Conflict(model::Offset(at))
-        };
-        if answered {
-            let time = self.now + self.rng.random_range(1..5);
-            self.schedule(time, Event::Appended(i, incarnation, Some(answer)));
-        }
-    }
-
-    fn read(&mut self, i: usize, started: u64, record: Option<(u64, Vec<u8>)>, end: u64) {
-        let (now, started, end) = (Millis(self.now), Millis(started), model::Offset(end));
-        let coordinator = &mut self.daemons[i].coordinator;
-        match record {
-            None => coordinator.on_empty_topic(now, started, end),
-            Some((offset, _)) if coordinator.offset() == Some(model::Offset(offset)) => {
-                let from = model::Offset(offset).next();
-                coordinator.on_unchanged(now, started, from, end);
-            }
-            Some((offset, bytes)) => {
-                let table = keys::Table::decode(&bytes).ok();
-                coordinator.on_record(now, started, model::Offset(offset), end, table);
-            }
-        }
-        self.poll(i);
-    }
-
     fn send_heartbeat(&mut self, i: usize, incarnation: u64) {
         let now = Millis(self.now);
         let coordinator = &mut self.daemons[i].coordinator;
@@ -488,7 +462,7 @@
         let age = coordinator.confirmed_age(now);
         let (acknowledged_age, known) = coordinator.report(now);
         let heartbeat = Heartbeat {
-            claim: is_coordinator.then(|| (coordinator.offset().unwrap().0, age)),
+            claim: is_coordinator.then(|| (coordinator.offset().unwrap(), age)),
             outage: coordinator.request_acknowledgement(now),
             acknowledged_age,
             known,
@@ -518,7 +492,7 @@
         let Some((offset, age)) = heartbeat.claim else {
             return;
         };
-        let (incarnation, offset) = (model::Incarnation(incarnation), model::Offset(offset));
+        let incarnation = model::Incarnation(incarnation);
         coordinator.on_heartbeat(now, host(from), incarnation, offset, age);
         if let Some(outage) = heartbeat.outage
             && coordinator.acknowledge(now, offset)
