Follow the key table's topic in the model of random faults

The model's daemons read the table only by calls of the state machine. In the daemon a follower of the topic reads as well and waits for records, and a daemon that leaves reading to another one gets the records passed on: these move the follower's position, but don't reach the state machine. The model has such followers now, for poll_random_relayed.

In the minimal case (slow log, daemon 0 paused) daemon 1 has read an empty topic at 5 ms; record 0 is passed on to its follower at 211 ms, whose reads from 1 on find nothing at 1,268 and 1,373 ms; at 1,377 ms it appends a first table at the end 1, whose keys are granted at once. A directed case shows the same on the state machine.

--- a/tests/gateway_coordinator.rs
+++ b/tests/gateway_coordinator.rs
@@ -455,6 +455,19 @@
     eras: impl Strategy<Value = u64> + 'static,
     faults: impl Strategy<Value = Vec<world::Fault>> + 'static,
 ) {
+    find_fault(cases, eras, faults, |world| world).unwrap();
+}
+
+/// Does the same with worlds that `prepare` changes.
+///
+/// # Errors
+/// Describes the smallest case found in which a world fails.
+fn find_fault(
+    cases: u32,
+    eras: impl Strategy<Value = u64> + 'static,
+    faults: impl Strategy<Value = Vec<world::Fault>> + 'static,
+    prepare: impl Fn(world::World) -> world::World,
+) -> Result<(), String> {
     let given = std::env::var("STEWARD_CASES").ok();
     let cases = given.and_then(|cases| cases.parse().ok()).unwrap_or(cases);
     let config = test_runner::Config {
@@ -474,11 +487,12 @@
     let mut runner = test_runner::TestRunner::new_with_rng(config, rng);
     let strategy = (proptest::num::u64::ANY, 2..4_usize, eras, faults);
     let check = |(seed, daemons, era, faults): (u64, usize, u64, Vec<world::Fault>)| {
-        world::World::new(seed, daemons, era, &faults)
+        prepare(world::World::new(seed, daemons, era, &faults))
             .run()
             .map_err(test_runner::TestCaseError::fail)
     };
-    runner.run(&strategy.boxed(), check).unwrap();
+    let result = runner.run(&strategy.boxed(), check);
+    result.map_err(|error| error.to_string())
 }
 
 /// Guards against two owners of one key, fences that do not rise, and keys
@@ -510,3 +524,17 @@
 fn poll_random_first_era() {
     check_random(50, 1..4_u64, collection::vec(world::fault(), 0..14));
 }
+
+/// Guards against the same if daemons learn of records through others, while their own reads
+/// go on after these records.
+#[test]
+fn poll_random_relayed() {
+    let fault = proptest::prop_oneof![
+        4 => world::heartbeat_loss(),
+        2 => world::fault(),
+        1 => world::restore(),
+    ];
+    let faults = collection::vec(fault, 1..14);
+    let result = find_fault(150, 0..2_u64, faults, world::World::with_followers);
+    known::conclude("gateway_coordinator poll_random_relayed", result);
+}
--- a/tests/gateway_coordinator/fault.rs
+++ b/tests/gateway_coordinator/fault.rs
@@ -84,3 +84,17 @@
         Fault { at, length, kind }
     })
 }
+
+/// Generates a fault in which a daemon takes over while the log is slow or refuses calls.
+pub fn heartbeat_loss() -> impl Strategy<Value = Fault> {
+    let kind = prop_oneof![
+        3 => Just(Kind::HeartbeatsLost),
+        3 => Just(Kind::LogSlow),
+        1 => (0..3_usize).prop_map(Kind::LogRefuses),
+        1 => (0..3_usize).prop_map(Kind::DaemonPaused),
+        1 => (0..3_usize).prop_map(Kind::DaemonKilled),
+        1 => (0..TARGETS).prop_map(Kind::TargetDrains),
+    ];
+    let times = (0..FAULT_PERIOD_MS, 1_000..18_000_u64);
+    (times, kind).prop_map(|((at, length), kind)| Fault { at, length, kind })
+}
--- a/tests/gateway_coordinator/log.rs
+++ b/tests/gateway_coordinator/log.rs
@@ -34,6 +34,14 @@
     Unchanged(model::Offset),
 }
 
+impl Answer {
+    pub(super) fn end(&self) -> model::Offset {
+        match self {
+            Self::Empty(end) | Self::Record(_, end, _) | Self::Unchanged(end) => *end,
+        }
+    }
+}
+
 /// The topic of the key table.
 pub(super) struct Log {
     era: u64,
@@ -76,7 +84,7 @@
 
     /// Returns the records from `from` on, as the newest one of them, or the newest record of
     /// all if `from` is `None`. Returns `None` if the log was restored after `from`.
-    fn read(&self, from: Option<model::Offset>) -> Option<Answer> {
+    pub(super) fn read(&self, from: Option<model::Offset>) -> Option<Answer> {
         let first = match from {
             Some(from) if from.era() != self.era => return None,
             Some(from) => from.number() as usize,
@@ -146,7 +154,7 @@
     }
 
     /// Returns the time after which an answer of the log arrives.
-    fn answer_delay(&mut self) -> u64 {
+    pub(super) fn answer_delay(&mut self) -> u64 {
         if self.is_before_restore() && self.rng.random_bool(0.5) {
             self.rng.random_range(1..2 * LOG_TIMEOUT_MS)
         } else {
--- a/tests/gateway_coordinator/model.rs
+++ b/tests/gateway_coordinator/model.rs
@@ -3,6 +3,8 @@
 
 #[path = "fault.rs"]
 mod fault;
+#[path = "follower.rs"]
+mod follower;
 #[path = "log.rs"]
 mod log;
 #[path = "target.rs"]
@@ -20,7 +22,8 @@
 use rand::{Rng, SeedableRng};
 
 use self::fault::Kind;
-pub use self::fault::{Fault, fault, restore};
+pub use self::fault::{Fault, fault, heartbeat_loss, restore};
+use self::follower::{Follower, FollowerRead};
 use self::log::{Answer, Log};
 
 const BUCKETS: usize = 65_536 / keys::BUCKET_KEYS as usize;
@@ -70,6 +73,12 @@
     Read(usize, u64, u64, Option<model::Offset>),
     ReadDone(usize, u64, u64, Answer),
     Unread(usize, u64),
+    /// The follower of the topic is due to read; the last number is that of the read.
+    Follow(usize, u64, u64),
+    FollowerReads(usize, u64, FollowerRead),
+    Followed(usize, u64, FollowerRead, Option<Answer>),
+    /// Records up to this offset were passed on to a daemon.
+    Relayed(usize, model::Offset),
     /// The log returns as a copy of this age after it went away at the time given first.
     LogRestored(u64, Option<u64>),
     Heartbeat(usize, usize, u64, Heartbeat),
@@ -94,6 +103,7 @@
     incarnation: u64,
     alive: bool,
     coordinator: coordinator::Coordinator,
+    follower: Follower,
     last_heartbeat: Vec<u64>,
     /// Number of the last scheduled wake-up; earlier ones are ignored.
     wake_number: u64,
@@ -120,6 +130,8 @@
     events: BTreeMap<(u64, u64), Event>,
     event_count: u64,
     log: Log,
+    /// The daemons follow the topic and pass on its records.
+    following: bool,
     daemons: Vec<Daemon>,
     targets: Vec<Target>,
     /// Last holder of each bucket: target, birth and fence.
@@ -149,6 +161,7 @@
             incarnation: 1,
             alive: true,
             coordinator: coordinator::Coordinator::new(host(i), model::Incarnation(1), Millis(0)),
+            follower: Follower::default(),
             last_heartbeat: vec![0; daemons],
             wake_number: 0,
         };
@@ -170,6 +183,7 @@
             events: BTreeMap::new(),
             event_count: 0,
             log: Log::new(era),
+            following: false,
             daemons: (0..daemons).map(daemon).collect(),
             targets,
             holders: vec![None; BUCKETS],
@@ -283,14 +297,16 @@
         self.schedule(now, Event::List(i, incarnation));
         self.schedule(now, Event::SendHeartbeat(i, incarnation));
         self.schedule(now, Event::Wake(i, 0));
+        self.start_follower(i);
     }
 
     /// Returns the daemon that an event is for, and the incarnation that it must have.
     fn daemon_of(event: &Event) -> Option<(usize, Option<u64>)> {
         match event {
-            Event::Wake(i, _) | Event::Heartbeat(i, ..) | Event::Acknowledged(i, ..) => {
-                Some((*i, None))
-            }
+            Event::Wake(i, _)
+            | Event::Heartbeat(i, ..)
+            | Event::Acknowledged(i, ..)
+            | Event::Relayed(i, _) => Some((*i, None)),
             Event::SendHeartbeat(i, incarnation)
             | Event::List(i, incarnation)
             | Event::Listed(i, incarnation, ..)
@@ -298,11 +314,14 @@
             | Event::Reply(i, incarnation, ..)
             | Event::Appended(i, incarnation, _)
             | Event::ReadDone(i, incarnation, ..)
+            | Event::Follow(i, incarnation, _)
+            | Event::Followed(i, incarnation, ..)
             | Event::Unread(i, incarnation) => Some((*i, Some(*incarnation))),
             Event::Arrive(..)
             | Event::Apply(..)
             | Event::Append(..)
             | Event::Read(..)
+            | Event::FollowerReads(..)
             | Event::LogRestored(..)
             | Event::DaemonStarts(_)
             | Event::TargetStarts(_)
@@ -365,6 +384,12 @@
                 self.execute_read(i, incarnation, started, from);
             }
             Event::ReadDone(i, _, started, answer) => self.read_done(i, started, answer),
+            Event::Follow(i, incarnation, number) => self.follow(i, incarnation, number),
+            Event::FollowerReads(i, incarnation, read) => {
+                self.follower_reads(i, incarnation, read);
+            }
+            Event::Followed(i, _, read, answer) => self.followed(i, read, answer),
+            Event::Relayed(i, next) => self.relayed(i, next),
             Event::LogRestored(away, age) => self.restore_log(away, age),
             Event::Unread(i, _) => {
                 self.daemons[i].coordinator.on_read_failed(now);
--- a/tests/gateway_coordinator/relayed.rs
+++ b/tests/gateway_coordinator/relayed.rs
@@ -73,3 +73,32 @@
     let result = result.map(|found| assert_eq!(found, Some(owner("b", 1))));
     known::conclude("gateway_coordinator relayed", result);
 }
+
+/// Lets a daemon take over that knows an empty topic, to which record 0 was passed on.
+///
+/// # Errors
+/// Describes an append or an order without a read that showed record 0.
+fn takeover_after_first_relayed() -> Result<(), String> {
+    let mut machine = coordinator::Coordinator::new("h1".into(), model::Incarnation(1), Millis(0));
+    machine.on_targets(Millis(0), None, vec![ready("a"), ready("b")], services());
+    machine.poll(Millis(0), 1);
+    machine.on_empty_topic(Millis(5), Millis(0), model::Offset(0));
+    for now in (100..4_000).map(Millis) {
+        for action in machine.poll(now, 1) {
+            match action {
+                // The follower's read from 1 on ends before the machine's own.
+                coordinator::Action::Read => machine.on_confirmed(now, now, model::Offset(1)),
+                action => return Err(format!("at {now:?} with an empty topic: {action:?}")),
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Guards against a first table, whose keys are granted at once, beside the table of another
+/// daemon whose record was passed on.
+#[test]
+fn on_confirmed_after_first_relayed() {
+    let result = takeover_after_first_relayed();
+    known::conclude("gateway_coordinator relayed first", result);
+}
