Test orders of before a restore in the coordinator's new term

A daemon that was the coordinator when the log was restored takes over at once. An order that it polled before and sends only then would carry a fence below those of lost records.

--- a/tests/gateway_coordinator.rs
+++ b/tests/gateway_coordinator.rs
@@ -9,6 +9,8 @@
 mod outage;
 #[path = "gateway_coordinator/owners.rs"]
 mod owners;
+#[path = "gateway_coordinator/reclaimed.rs"]
+mod reclaimed;
 #[path = "gateway_coordinator/relayed.rs"]
 mod relayed;
 #[path = "gateway_coordinator/restored.rs"]
