Count daemons that report for the majority of an outage

What callers could see: two targets hold the same keys (OWNER) if the log goes away soon after the daemons have started: two targets held keys 0 to 21839 for 0.17 s in owners_restore_at_start, 8.7 s after a restore.

Cause: a coordinator that knew no other host's record yet took itself for the majority that has to acknowledge an outage, and granted leases of 10 s alone. The next coordinator knew all daemons, learned from a majority of them that nothing had been acknowledged, and did not wait for these leases.

Change: daemons whose heartbeats arrive count, whether their hosts' records are known or not, for 60 s after the last one; and a coordinator counts an outage as acknowledged no earlier than it may acknowledge one itself, 2.5 s after its start.

--- a/src/gateway/coordinator/acknowledgements.rs
+++ b/src/gateway/coordinator/acknowledgements.rs
@@ -10,9 +10,13 @@
 use crate::clock;
 use crate::model;
 
+/// Time after its last report for which a daemon counts as live, in milliseconds.
+const REPORT_EXPIRY_MS: u64 = 60_000;
+
 /// Last report of another daemon.
 #[derive(Clone, Copy, Debug)]
 struct Report {
+    arrival: clock::Millis,
     /// Newest record of the key table that it knew.
     known: Option<model::Offset>,
     /// Latest time at which it may have acknowledged an outage.
@@ -49,8 +53,15 @@
     }
 
     /// Returns the number of other daemons that form a majority together with this one.
+    ///
+    /// Daemons that report count even if their hosts' records are not known here yet: the
+    /// next coordinator knows them, and both have to count the same daemons.
     fn other_votes(&self) -> usize {
-        self.live as usize / 2
+        let reporting = match self.reports.len() {
+            0 => 0,
+            others => others + 1,
+        };
+        reporting.max(self.live as usize) / 2
     }
 
     pub(super) fn set_live(&mut self, live: u32) {
@@ -76,11 +87,15 @@
     /// Stores a report of another daemon.
     pub(super) fn report(
         &mut self,
+        now: clock::Millis,
         host: model::HostName,
         known: Option<model::Offset>,
         acknowledged: clock::Millis,
     ) {
+        self.reports
+            .retain(|_, report| now.since(report.arrival) < REPORT_EXPIRY_MS);
         let report = Report {
+            arrival: now,
             known,
             acknowledged,
         };
@@ -148,7 +163,7 @@
         acknowledged_age: u64,
     ) {
         self.acknowledgements
-            .report(from, known, now - acknowledged_age);
+            .report(now, from, known, now - acknowledged_age);
     }
 
     /// Returns the outage that other daemons should acknowledge, if this daemon may act
@@ -157,7 +172,8 @@
     /// acknowledgement.
     pub fn request_acknowledgement(&mut self, now: clock::Millis) -> Option<u64> {
         let confirmed = self.log.confirmed?;
-        if !self.may_act(now) || now.since(confirmed) < super::OUTAGE_TIMEOUT_MS {
+        let is_out = now.since(confirmed) >= super::OUTAGE_TIMEOUT_MS;
+        if !self.may_act(now) || !is_out || !self.acknowledgements.may_acknowledge(now) {
             return None;
         }
         self.acknowledgements.acknowledge(now);
--- a/src/gateway/coordinator/orders.rs
+++ b/src/gateway/coordinator/orders.rs
@@ -225,6 +225,7 @@
     fn may_extend(&self, now: clock::Millis) -> bool {
         let confirmed = self.log.confirmed.unwrap_or_default();
         now.since(confirmed) >= super::OUTAGE_TIMEOUT_MS
+            && self.acknowledgements.may_acknowledge(now)
             && self.acknowledgements.has_majority(confirmed.0)
     }
 
--- a/tests/gateway_coordinator/outage.rs
+++ b/tests/gateway_coordinator/outage.rs
@@ -48,6 +48,30 @@
     assert_eq!(longest_lease(2, 0), coordinator::MAX_LEASE_MS);
 }
 
+/// Guards against a coordinator that grants an extended lease alone because it does not know
+/// the other daemons' hosts yet, or has just started, while the next one knows all of them.
+#[test]
+fn poll_outage_unknown_daemons() {
+    for (reporting, start, expected) in [
+        (2, 2_500, coordinator::NORMAL_LEASE_MS),
+        (0, 1_000, coordinator::NORMAL_LEASE_MS),
+        (0, 2_500, coordinator::MAX_LEASE_MS),
+    ] {
+        let mut rig = Rig::new(vec![ready("a")]);
+        rig.coordinator.on_daemons(1);
+        rig.run(start, done);
+        for daemon in 0..reporting {
+            let host = format!("h{}", daemon + 1).as_str().into();
+            rig.coordinator.on_report(Millis(rig.now), host, None, 0);
+        }
+        rig.log_up = false;
+        let orders = rig.run(1_450, done);
+        let leases = orders.iter().filter_map(|(_, order)| grant_of(order));
+        let longest = leases.map(|grant| grant.lease_ms).max();
+        assert_eq!(longest, Some(expected), "{reporting} from {start} ms on");
+    }
+}
+
 /// Guards against counting late acknowledgements of an earlier outage.
 #[test]
 fn on_acknowledged_other_outage() {
