Read what targets say of themselves in their answers

Targets that leave say so in all their answers (`Server-Leaving: 1`), and a 503 may ask for a pause (`Retry-After`, in seconds). Neither was read, so that a leaving target got requests until the log's list showed it.

`Adapter::parse_notice` returns both as `Notice`; the names of the headers stay in platform/.

--- a/src/gateway/adapter.rs
+++ b/src/gateway/adapter.rs
@@ -360,6 +360,15 @@
     pub slowness_percent: u32,
 }
 
+/// What a target says of itself in an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Notice {
+    /// The target is about to shut down and must get no new work.
+    pub leaving: bool,
+    /// Time for which the target wants no requests from this daemon, in milliseconds.
+    pub pause_ms: Option<u64>,
+}
+
 /// Names of headers that the gateway reads or sets.
 #[derive(Clone, Debug)]
 pub struct HeaderNames {
@@ -445,6 +454,10 @@
     /// Returns whether an answer proves that the target did not run the request.
     fn is_not_executed(&self, status: http::StatusCode, headers: &http::HeaderMap) -> bool;
 
+    /// Parses what a target says of itself in an answer. What is invalid counts as not
+    /// said.
+    fn parse_notice(&self, status: http::StatusCode, headers: &http::HeaderMap) -> Notice;
+
     /// Parses a load report; returns `None` if it is invalid.
     fn parse_load(&self, value: &str) -> Option<LoadReport>;
 
