Keep what targets say for each instance

What a target says of itself had no place in a daemon: the registry holds what the log lists, and the statistics of the choice are about speed.

`Notices` keeps, by name and birth, since when a target says that it leaves and until when it wants a pause. A new instance at the same address starts clean. An instance that says that it leaves does so for good.

The entries go when the registry knows no version of the instance any more, some minutes after its removal: an instance that left and is listed again after an outage of the log is still left alone. Nothing asks for the state yet; the answers to requests are recorded, and two counters count the news.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -16,6 +16,7 @@
 pub mod exchange;
 pub mod history;
 pub mod keys;
+pub mod notices;
 pub mod peers;
 pub mod query;
 pub mod quota;
@@ -151,6 +152,11 @@
             .cold_limiters
             .borrow_mut()
             .retain(|instance, _| instances.contains(instance));
+        let registry = shared.registry.borrow();
+        shared
+            .notices
+            .borrow_mut()
+            .retain(|instance| registry.is_newest(&instance.target, instance.birth));
     }
 }
 
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -345,6 +345,12 @@
         self.stats_of(instance).requests(now)
     }
 
+    /// Returns the number of requests that this daemon has in progress at a target.
+    pub fn own_requests(&self, instance: &Instance) -> u32 {
+        let stats = self.stats.get(instance);
+        stats.map_or(0, |stats| stats.own_requests)
+    }
+
     /// Returns whether a target has reached its limit of requests per slot.
     pub fn is_full(&self, instance: &Instance, slots: u32, now: clock::Millis) -> bool {
         self.requests(instance, now) >= MAX_REQUESTS_PER_SLOT * f64::from(slots.max(1))
--- a/src/gateway/counters.rs
+++ b/src/gateway/counters.rs
@@ -215,6 +215,10 @@
     pub orders: Counter,
     /// Connections opened to targets.
     pub connections: Counter,
+    /// Targets that said in an answer that they leave.
+    pub leaving: Counter,
+    /// Pauses that targets asked for.
+    pub pauses: Counter,
     route_requests: Family<RouteOutcomeLabels, Counter>,
     route_seconds: Family<RouteLabel, Histogram, fn() -> Histogram>,
     log_results: Family<CallLabels, Counter>,
@@ -243,6 +247,8 @@
             record_requests: Counter::default(),
             orders: Counter::default(),
             connections: Counter::default(),
+            leaving: Counter::default(),
+            pauses: Counter::default(),
             route_requests: Family::default(),
             route_seconds: Family::new_with_constructor(new_histogram),
             log_results: Family::default(),
@@ -292,6 +298,16 @@
                 "Connections opened to targets",
                 &self.connections,
             ),
+            (
+                "target_leaving",
+                "Targets that said in an answer that they leave",
+                &self.leaving,
+            ),
+            (
+                "target_pauses",
+                "Pauses that targets asked for",
+                &self.pauses,
+            ),
         ];
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
--- a/src/gateway/exchange/attempt.rs
+++ b/src/gateway/exchange/attempt.rs
@@ -66,6 +66,10 @@
     fn finish(&self, outcome: choice::AttemptOutcome, load: Option<adapter::LoadReport>) {
         self.pending.set(false);
         self.trace.on_attempt(&self.instance, self.begin, outcome);
+        if let choice::AttemptOutcome::Answered(_) = outcome {
+            let mut notices = self.shared.notices.borrow_mut();
+            notices.on_served(&self.instance, clock::now());
+        }
         let mut table = self.shared.choice.borrow_mut();
         table.on_end(&self.instance, outcome, self.work_ms, load, clock::now());
     }
@@ -193,6 +197,8 @@
 ) -> AttemptResult {
     let names = shared.adapter.names();
     let headers = response.headers();
+    let notice = shared.adapter.parse_notice(response.status(), headers);
+    shared.on_notice(&guard.instance, notice);
     let refused = shared.adapter.is_not_executed(response.status(), headers);
     // A refusal may come from a target that did not read the identifier.
     let named = headers.contains_key(&names.request);
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -289,6 +289,14 @@
         self.removed.values()
     }
 
+    /// Returns whether an incarnation is the newest one known of its target. That holds for
+    /// some minutes after the removal of the target, so that the same incarnation is
+    /// recognised if it is listed again.
+    pub fn is_newest(&self, name: &model::TargetName, birth: u64) -> bool {
+        let version = self.versions.get(name);
+        version.is_some_and(|version| version.birth == birth)
+    }
+
     /// Returns when the newest entry of a usable target was applied.
     pub fn last_seen(&self, name: &model::TargetName) -> Option<clock::Millis> {
         self.known.get(name)?;
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -19,6 +19,7 @@
 use crate::gateway::exchange::stop;
 use crate::gateway::history;
 use crate::gateway::keys;
+use crate::gateway::notices;
 use crate::gateway::peers;
 use crate::gateway::quota;
 use crate::gateway::recent;
@@ -67,6 +68,8 @@
     pub(crate) socket: Rc<UdpSocket>,
     /// Statistics of the targets' speed and load, for the choice of targets.
     pub choice: RefCell<choice::Table>,
+    /// What targets have said of themselves in their answers.
+    pub notices: RefCell<notices::Notices>,
     /// Distribution of requests among the backends of each route.
     pub distributions: RefCell<catalog::Distributions>,
     /// Mean time in milliseconds that a request of each route takes at a target.
@@ -140,6 +143,7 @@
             views: RefCell::default(),
             socket: Rc::new(socket),
             choice: RefCell::default(),
+            notices: RefCell::default(),
             distributions: RefCell::default(),
             work_times: RefCell::default(),
             retry_budgets: RefCell::default(),
