Tell the coordinator which owners say that they leave

The coordinator moved keys away from an owner only when the log's list showed it as draining. An owner that said in its answers that it leaves kept its keys until then, and requests for them were refused once daemons left it alone.

The coordinator takes what a target said itself as newer than its entry: the owner counts as draining. It learns it from answers to its own requests and orders, and from other daemons: each reports leaving targets of keyed services that are still listed as ready, at once and then each second, at most 64. The report is a message of its own and no field of the heartbeat: heartbeats are encoded by position, and a daemon of an older version rejects one with a further field, while it skips a message that it does not know. A pause is not reported: it is asked of one daemon, and ends sooner than keys that move are warm. Orders go on during a pause, since leases would end otherwise.

--- a/src/gateway/executor.rs
+++ b/src/gateway/executor.rs
@@ -159,6 +159,9 @@
                 }
                 return;
             }
+            peers::Message::Leaving(host, targets) => {
+                return on_leaving_reported(&shared, &host, targets);
+            }
             peers::Message::Acknowledged(host, outage) => {
                 machine.borrow_mut().on_acknowledged(now, host, outage);
                 return shared.wake_coordinator.notify_one();
@@ -196,6 +199,26 @@
     peers::receive_messages(Rc::clone(&socket), handle).await;
 }
 
+/// Handles another daemon's report of targets that said that they leave. Only incarnations
+/// that this daemon lists are kept, so that reports need no further memory.
+fn on_leaving_reported(
+    shared: &Shared,
+    host: &model::HostName,
+    targets: Vec<(model::TargetName, u64)>,
+) {
+    for (target, birth) in targets.into_iter().take(peers::MAX_LEAVING) {
+        let instance = choice::Instance { target, birth };
+        let listed = {
+            let registry = shared.registry.borrow();
+            let target = registry.get(&instance.target);
+            target.is_some_and(|target| target.birth == instance.birth)
+        };
+        if listed {
+            shared.on_reported(host, &instance);
+        }
+    }
+}
+
 /// Sends the coordinator this daemon's acknowledgement of its outage.
 fn acknowledge(shared: &Shared, coordinator: &model::HostName, outage: u64) {
     let message = peers::Message::Acknowledged(shared.settings.host.clone(), outage);
@@ -398,9 +421,12 @@
         birth: target.birth,
     };
     let slowness = shared.choice.borrow().time_factor(&incarnation);
+    let leaving = shared.notices.borrow().leaving_since(&incarnation);
     let state = match target.state {
         _ if unlisted => coordinator::MemberState::Unlisted,
         adapter::EntryState::Draining => coordinator::MemberState::Draining,
+        // What the target said itself is newer than its entry.
+        adapter::EntryState::Ready if leaving.is_some() => coordinator::MemberState::Draining,
         adapter::EntryState::Ready if target.is_cold(clock::now()) => {
             coordinator::MemberState::Cold
         }
@@ -508,6 +534,16 @@
         counters::OrderKind::Release => RELEASE_TIMEOUT_MS,
     };
     let answer = tokio::time::timeout(Duration::from_millis(timeout), answer).await;
+    if let Ok(Ok(answer)) = &answer {
+        let notice = shared
+            .adapter
+            .parse_notice(answer.status(), answer.headers());
+        let instance = choice::Instance {
+            target: owner.target.clone(),
+            birth: owner.birth,
+        };
+        shared.on_notice(&instance, notice);
+    }
     let reply = match answer {
         Ok(Ok(answer)) => match shared.adapter.parse_order(&answer) {
             adapter::OrderResponse::Accepted(handover) => coordinator::OrderOutcome::Done(handover),
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -12,7 +12,9 @@
 use crate::gateway::adapter;
 use crate::gateway::choice::Instance;
 use crate::gateway::counters;
+use crate::gateway::peers;
 use crate::gateway::shared::Shared;
+use crate::model;
 
 /// The end of a pause is delayed by up to one part in this many of its length, so that
 /// daemons and targets whose pauses would end together return one after the other.
@@ -219,6 +221,9 @@
         if news.leaving {
             log::info!("target {} says that it leaves", instance.target);
             counters::increment(&self.counters.leaving);
+            // The coordinator may be another daemon, or this one.
+            peers::report_leaving(self, std::slice::from_ref(instance));
+            self.wake_coordinator.notify_one();
         }
         if news.pause {
             let ms = notice.pause_ms.unwrap_or_default();
@@ -231,6 +236,23 @@
         }
     }
 
+    /// Records that a target said to another daemon that it leaves.
+    pub(crate) fn on_reported(&self, host: &model::HostName, instance: &Instance) {
+        let leaving = adapter::Notice {
+            leaving: true,
+            pause_ms: None,
+        };
+        let mut notices = self.notices.borrow_mut();
+        if notices
+            .on_answer(instance, leaving, clock::now(), 0.0)
+            .leaving
+        {
+            let target = &instance.target;
+            log::info!("host {host} reports that target {target} says that it leaves");
+            self.wake_coordinator.notify_one();
+        }
+    }
+
     /// Returns whether a target may get a further request of this daemon, by what it said
     /// of itself.
     pub(crate) fn standing(&self, instance: &Instance, now: clock::Millis) -> Standing {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -10,6 +10,7 @@
 
 use crate::clock;
 use crate::finding;
+use crate::gateway::adapter;
 use crate::gateway::choice::{self, RequestCounts};
 use crate::gateway::relay;
 use crate::gateway::shared::Shared;
@@ -49,6 +50,10 @@
 /// Largest number of key buckets that one heartbeat reports, the busiest ones.
 const MAX_BUCKETS: usize = 192;
 
+/// Largest number of leaving targets that one message reports; bounds the datagram. The
+/// list of targets shows the others a little later.
+pub(crate) const MAX_LEAVING: usize = 64;
+
 /// Record of a host in the log, appended by its daemon.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct HostRecord {
@@ -171,6 +176,11 @@
     /// Compressed records of the log that the sender read for its failure domain.
     #[serde(rename = "z")]
     Compressed(serde_bytes::ByteBuf),
+    /// Name and birth of targets of keyed services that said to this host that they leave,
+    /// for the coordinator. A message of its own, since older daemons reject a heartbeat
+    /// with a further field.
+    #[serde(rename = "n")]
+    Leaving(model::HostName, Vec<(model::TargetName, u64)>),
 }
 
 /// A known daemon.
@@ -327,11 +337,58 @@
                 false => BTreeMap::new(),
             };
             send_heartbeat(&shared, &socket, contents, load, coordinator()).await;
+            if full {
+                report_all_leaving(&shared);
+            }
         }
         tokio::time::sleep(Duration::from_millis(COORDINATOR_HEARTBEAT_MS)).await;
     }
 }
 
+/// Reports to the coordinator all targets of keyed services that said that they leave and
+/// that the list of targets does not show as draining yet; called once a second.
+fn report_all_leaving(shared: &Shared) {
+    let instances: Vec<_> = shared.notices.borrow().leaving().cloned().collect();
+    report_leaving(shared, &instances);
+}
+
+/// Reports those of `instances` to the coordinator that may own keys and are listed as
+/// ready.
+pub(crate) fn report_leaving(shared: &Shared, instances: &[choice::Instance]) {
+    let Some(catalog) = shared.catalog.borrow().clone() else {
+        return;
+    };
+    let targets: Vec<_> = {
+        let registry = shared.registry.borrow();
+        let unknown = |instance: &&choice::Instance| {
+            let target = registry.get(&instance.target);
+            target.is_some_and(|target| {
+                let service = catalog.service(&target.service);
+                target.birth == instance.birth
+                    && target.state == adapter::EntryState::Ready
+                    && service.is_some_and(|service| service.keyed)
+            })
+        };
+        let unknown = instances.iter().filter(unknown).take(MAX_LEAVING);
+        unknown
+            .map(|instance| (instance.target.clone(), instance.birth))
+            .collect()
+    };
+    let coordinator = {
+        let table = shared.table.borrow();
+        let peers = shared.peers.borrow();
+        // The directory lacks this host, so that the coordinator reports nothing to itself.
+        table
+            .as_ref()
+            .and_then(|(_, table)| peers.address(&table.host))
+    };
+    if let (Some(address), false) = (coordinator, targets.is_empty()) {
+        let message = Message::Leaving(shared.settings.host.clone(), targets);
+        // A lost message is followed by the next report.
+        let _ = shared.socket.try_send_to(&encode(&message), address);
+    }
+}
+
 /// Encodes a message for a datagram.
 pub(crate) fn encode(message: &Message) -> Vec<u8> {
     // Serializing plain fields to memory does not fail.
