Show what targets say of themselves in explain, logs and refusals

A target that got no requests because of what it had said was shown as a candidate, and refused requests had no reason for it.

`explain` lists such targets as left out (`draining`, `pause`, or `returning`) with the text of what they said, and an owner of keys likewise. The reason of a refused request in `/admin/requests` and its log line `request ended` have the same text, such as `target asked for a pause, 1200 ms left`. The text is added to the reason, so that older commands can read the page.

--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -92,10 +92,10 @@
             candidate.domain.to_string(),
             format!("{:.1}", candidate.estimate_ms),
             format!("{:.1} of {}", candidate.requests, candidate.slots),
-            candidate
-                .exclusion
-                .map_or("", explain::Exclusion::label)
-                .to_owned(),
+            candidate.notice.clone().unwrap_or_else(|| {
+                let label = candidate.exclusion.map(explain::Exclusion::label);
+                label.unwrap_or_default().to_owned()
+            }),
         ]
     });
     let rows: Vec<_> = rows.collect();
@@ -106,9 +106,11 @@
 
 fn owner_text(owner: &explain::Owner) -> String {
     let (first, last) = owner.keys;
+    let notice = owner.notice.as_ref();
+    let notice = notice.map_or_else(String::new, |notice| format!("{notice}\n"));
     format!(
         "keys {first} to {last}: owner {} in {}, fence {}, since record {}; before it: {}\n\
-         key table: record {}, steward {}\n",
+         key table: record {}, steward {}\n{notice}",
         or_none(owner.target.as_ref()),
         or_none(owner.domain.as_ref()),
         owner.fence,
--- a/src/gateway/exchange/explain.rs
+++ b/src/gateway/exchange/explain.rs
@@ -12,6 +12,7 @@
 use crate::gateway::catalog;
 use crate::gateway::choice;
 use crate::gateway::exchange::{self, ResolvedRequest, selection};
+use crate::gateway::notices;
 use crate::gateway::registry;
 use crate::gateway::shared::Shared;
 use crate::gateway::trace;
@@ -133,6 +134,9 @@
     /// Host of the coordinator.
     #[serde(rename = "steward")]
     pub coordinator: model::HostName,
+    /// What the owner said of itself, if it leaves or asked for a pause.
+    #[serde(default)]
+    pub notice: Option<String>,
 }
 
 /// A target that might serve the request.
@@ -152,14 +156,22 @@
     /// Reason for its exclusion, if it is excluded.
     #[serde(rename = "left_out")]
     pub exclusion: Option<Exclusion>,
+    /// What the target said of itself, if it leaves or asked for a pause.
+    #[serde(default)]
+    pub notice: Option<String>,
 }
 
 /// Reason why a target is excluded from the choice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Exclusion {
-    /// The target is draining.
+    /// The target is draining, by its entry or by what it said of itself.
     Draining,
+    /// The target asked for a pause.
+    Pause,
+    /// The target's pause has ended, and it has as many requests as it may have so soon
+    /// afterwards.
+    Returning,
     /// The target's failure domain is drained.
     #[serde(rename = "domain_out")]
     DomainDrained,
@@ -180,6 +192,8 @@
     pub fn label(self) -> &'static str {
         match self {
             Self::Draining => "draining",
+            Self::Pause => "pause",
+            Self::Returning => "returning",
             Self::DomainDrained => "domain_out",
             Self::OtherRegion => "other_region",
             Self::Cold => "cold",
@@ -288,10 +302,19 @@
     }
 }
 
-fn instance_of(target: &registry::Target) -> choice::Instance {
-    choice::Instance {
-        target: target.name.clone(),
-        birth: target.birth,
+/// Returns what a target said of itself, if that affects its requests now.
+fn notice_text(shared: &Shared, instance: &choice::Instance, now: clock::Millis) -> Option<String> {
+    let reason = shared.standing(instance, now).reason(now);
+    reason.map(|reason| reason.to_string())
+}
+
+/// Returns why a target gets no request, by what it said of itself.
+fn notice_exclusion(standing: notices::Standing) -> Option<Exclusion> {
+    match standing {
+        notices::Standing::Open => None,
+        notices::Standing::Leaving(_) => Some(Exclusion::Draining),
+        notices::Standing::Paused(_) => Some(Exclusion::Pause),
+        notices::Standing::Returning(_) => Some(Exclusion::Returning),
     }
 }
 
@@ -305,7 +328,7 @@
     let mut views = Vec::new();
     for target in registry.of(&request.service.name) {
         let candidate = choice::Candidate {
-            instance: instance_of(target),
+            instance: target.instance(),
             slots: target.slots,
             cost_ms: shared.cost_ms(target),
         };
@@ -318,6 +341,7 @@
             requests: round(table.requests(&candidate.instance, now)),
             slots: target.slots,
             exclusion: exclusion.or(unavailable),
+            notice: notice_text(shared, &candidate.instance, now),
         });
         if exclusion.is_none() {
             eligible.push(candidate);
@@ -358,7 +382,9 @@
     request: &ResolvedRequest,
     now: clock::Millis,
 ) -> Option<Exclusion> {
-    if target.state == adapter::EntryState::Draining {
+    if let Some(said) = notice_exclusion(shared.standing(instance, now)) {
+        Some(said)
+    } else if target.state == adapter::EntryState::Draining {
         Some(Exclusion::Draining)
     } else if shared.is_drained(&target.domain) {
         Some(Exclusion::DomainDrained)
@@ -417,6 +443,7 @@
             .map(|prior| prior.target.clone()),
         table: offset,
         coordinator: table.host.clone(),
+        notice: target.and_then(|target| notice_text(shared, &target.instance(), clock::now())),
     };
     let obstacle = match (&run.owner, target) {
         (None, _) => Some("the key has no owner yet"),
@@ -439,10 +466,15 @@
     request: &ResolvedRequest,
 ) -> Option<&'static str> {
     let now = clock::now();
-    let instance = instance_of(target);
+    let instance = target.instance();
+    let standing = shared.standing(&instance, now);
     let choice = shared.choice.borrow();
     if !shared.is_allowed(&target.domain, &request.route.regions) {
         Some("the key's owner is outside the allowed regions")
+    } else if let notices::Standing::Paused(_) = standing {
+        Some(selection::OWNER_PAUSED)
+    } else if let notices::Standing::Returning(_) = standing {
+        Some(selection::OWNER_RETURNS)
     } else if !selection::may_serve_while_draining(shared, target, now) {
         Some(selection::OWNER_LEAVES)
     } else if choice.is_backing_off(&instance, now) {
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -208,10 +208,15 @@
 
 /// Returns the reason that the daemon itself gave for a refusal, or an empty string.
 /// Bodies of targets' responses are not kept.
-fn refusal_reason(outcome: Outcome, body: &exchange::Body) -> String {
+/// What a target said of itself is added, if it did not get the request for that.
+fn refusal_reason(trace: &Trace, outcome: Outcome, body: &exchange::Body) -> String {
     match (outcome, body) {
         (Outcome::Refused | Outcome::Faulty, exchange::Body::Whole(Some(text))) => {
-            String::from_utf8_lossy(text).trim_end().to_owned()
+            let reason = String::from_utf8_lossy(text).trim_end().to_owned();
+            match trace.notice() {
+                Some(notice) => format!("{reason}: {notice}"),
+                None => reason,
+            }
         }
         _ => String::new(),
     }
@@ -288,7 +293,7 @@
         self.recent.add(recent::Entry {
             version: catalog.as_ref().map(|catalog| catalog.version()),
             status: response.map(|response| response.status().as_u16()),
-            reason: response.map_or_else(String::new, |r| refusal_reason(outcome, r.body())),
+            reason: response.map_or_else(String::new, |r| refusal_reason(trace, outcome, r.body())),
             ..trace.entry(head, label, ms)
         });
     }
