Test that an instance that left is remembered when it is listed again

An instance that left may vanish from the list and be listed again with the same birth, after an outage of the log for example.

--- a/tests/gateway_registry.rs
+++ b/tests/gateway_registry.rs
@@ -25,6 +25,22 @@
     }
 }
 
+/// Guards against an incarnation that is forgotten soon after its removal, against one that
+/// is never forgotten, and against an older one that is taken for the newest.
+#[test]
+fn is_newest_removed() {
+    let mut registry = registry();
+    let newest = |registry: &Registry, birth| registry.is_newest(&"t0".into(), birth);
+    assert!(newest(&registry, 5) && !newest(&registry, 4));
+    registry.remove(Millis(1_000), "t0");
+    registry.sweep(Millis(600_999));
+    assert!(newest(&registry, 5));
+    registry.sweep(Millis(601_000));
+    assert!(!newest(&registry, 5));
+    registry.apply(Millis(602_000), entry("t1", 6, 1));
+    assert!(!registry.is_newest(&"t1".into(), 5));
+}
+
 fn draining(entry: Entry) -> Entry {
     let state = EntryState::Draining;
     Entry { state, ..entry }
