Pass on entries of targets whose removal was in doubt

What callers saw: 503 for keys whose owner serves, and requests that avoid a target that is listed: daemons that read through another one give the target up 2 s after the log's return, or never learn of it, after an outage in which its entry lapsed or a restore from a copy that lacks it.

Cause: the reader passes on entries only if they change its registry. An entry that is written again cancels the delayed removal there, which is no change, and its cache of newest records lacks it as well.

Change: the reader passes on (and caches) entries whose removal was delayed, and for 10 s after a restore all entries.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -678,6 +678,7 @@
     let targets = readers::Targets {
         shared: Rc::clone(shared),
         era: readers::LastEra::default(),
+        rewriting_until: clock::Millis(0),
         outage_since: None,
     };
     let hosts = readers::Hosts {
--- a/src/gateway/feed/readers.rs
+++ b/src/gateway/feed/readers.rs
@@ -20,7 +20,7 @@
 /// as ready for a while after its return.
 const SETTLE_MS: u64 = 4_000;
 
-/// Time within which operators' records that a restored log lacks are written again.
+/// Time within which records that a restored log lacks are written again.
 const REWRITE_MS: u64 = 10_000;
 
 /// Era of the log in the last full read of a topic.
@@ -165,6 +165,9 @@
 pub(super) struct Targets {
     pub(super) shared: Rc<Shared>,
     pub(super) era: LastEra,
+    /// Time until which entries that a restored log lacks are written again; others may lack
+    /// one that is known here.
+    pub(super) rewriting_until: clock::Millis,
     /// Start of the current outage of the log, if there is one.
     pub(super) outage_since: Option<clock::Millis>,
 }
@@ -232,6 +235,7 @@
                 .on_log_restored(clock::now());
             // The list may show targets as ready that are draining, until they write again.
             self.shared.targets_read_at.set(None);
+            self.rewriting_until = clock::now() + REWRITE_MS;
             let answering = &self.shared.answering_since;
             answering.set(answering.get().and(Some(clock::now())));
         }
@@ -255,15 +259,18 @@
         let mut newest: Vec<adapter::Record> = batch.records.into_iter().rev().collect();
         newest.retain(|record| seen.insert(Arc::clone(&record.key)));
         newest.reverse();
+        let rewriting = now < self.rewriting_until;
         // Records that only renew a target's entry need not be passed on.
         newest.retain(|record| {
             let generation = self.shared.registry.borrow().generation();
+            let doubted = self.shared.registry.borrow().is_delayed(&record.key);
             match (&record.value, self.entry(record)) {
                 (None, _) => self.shared.registry.borrow_mut().remove(now, &record.key),
                 (_, Some(entry)) => self.shared.registry.borrow_mut().apply(now, entry),
                 (_, None) => {}
             }
-            record.value.is_none() || self.shared.registry.borrow().generation() != generation
+            let changed = self.shared.registry.borrow().generation() != generation;
+            record.value.is_none() || changed || doubted || rewriting
         });
         self.on_change(before, source);
         newest
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -306,6 +306,11 @@
         version.is_some_and(|version| version.birth == birth)
     }
 
+    /// Returns whether the removal of the target named `name` is delayed.
+    pub fn is_delayed(&self, name: &str) -> bool {
+        self.delayed.contains(&model::TargetName::from(name))
+    }
+
     /// Returns when the newest entry of a usable target was applied.
     pub fn last_seen(&self, name: &model::TargetName) -> Option<clock::Millis> {
         self.known.get(name)?;
