Test reads of the key table after a record without a readable key

A record whose key is no UTF-8 counts as none, but moves the position on. Only a foreign writer of the topic can cause it.

--- a/tests/gateway_coordinator/restored.rs
+++ b/tests/gateway_coordinator/restored.rs
@@ -277,3 +277,34 @@
     let taken = taken.expect("the daemon did not take over");
     assert!((2_000..2_600).contains(&taken), "took over at {taken}");
 }
+
+/// Guards against a daemon that never reads the topic again after its own read showed only
+/// records without a readable key, which count as no records but move the position on.
+#[test]
+fn on_unchanged_unreadable_key() {
+    let mut rig = Rig::new(vec![ready("a")]);
+    rig.run(10, done);
+    let reads_after = |rig: &mut Rig, mut skipped: u64| {
+        let mut reads = 0;
+        for _ in 0..5_000 {
+            rig.now += 1;
+            let now = Millis(rig.now);
+            for action in rig.coordinator.poll(now, 0) {
+                if action == coordinator::Action::Read {
+                    reads += 1;
+                    rig.end += std::mem::take(&mut skipped);
+                    let end = model::Offset(rig.end);
+                    rig.coordinator.on_unchanged(now, now, end, end);
+                }
+            }
+        }
+        reads
+    };
+    let usual = reads_after(&mut rig, 0);
+    let after = reads_after(&mut rig, 1);
+    assert!(usual >= 4, "{usual} reads");
+    assert!(
+        after >= 4,
+        "{after} reads after a record without a readable key, {usual} before"
+    );
+}
