Keep ended drains ended where a restored log shows them again

What callers saw: a failure domain that operators had brought back is drained again after a restore, until the end of the drain is written again.

Cause: only drains that the copy lacks were kept; a drain whose removal the copy lacks took effect again.

Change: for 10 s after a restore, a failure domain of which the log shows another state than was known keeps the known one, in both directions; a record that is written in that time takes effect at once. Then the log's state does.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -673,7 +673,7 @@
     let operator = readers::Operator {
         shared: Rc::clone(shared),
         era: readers::LastEra::default(),
-        missing: Rc::default(),
+        doubted: Rc::default(),
     };
     let targets = readers::Targets {
         shared: Rc::clone(shared),
--- a/src/gateway/feed/readers.rs
+++ b/src/gateway/feed/readers.rs
@@ -1,7 +1,7 @@
 //! Applies the records of each topic to the daemon's state.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -36,13 +36,37 @@
     }
 }
 
+/// Disagreement of a restored log with what this daemon knew of a failure domain, whose
+/// record or removal may be written again.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Doubt {
+    /// State that the log shows, and that takes effect at `until`.
+    drained: bool,
+    until: clock::Millis,
+}
+
 /// Applies operators' records: the configuration and drained failure domains.
 pub(super) struct Operator {
     pub(super) shared: Rc<Shared>,
     pub(super) era: LastEra,
-    /// Drained domains whose records a restored log lacks, with the time until which they
-    /// stay drained unless the records are written again.
-    pub(super) missing: Rc<RefCell<BTreeMap<model::DomainName, clock::Millis>>>,
+    /// Domains of which a restored log shows another state than this daemon knew.
+    pub(super) doubted: Rc<RefCell<BTreeMap<model::DomainName, Doubt>>>,
+}
+
+/// Drains a failure domain, or ends its drain. One that is drained already keeps its time.
+fn set_drained(shared: &Shared, domain: &model::DomainName, drained: bool) {
+    let mut domains = shared.drained_domains.borrow_mut();
+    match (drained, domains.contains_key(domain)) {
+        (true, false) => {
+            log::info!("failure domain {domain} is taken out");
+            domains.insert(domain.clone(), clock::now());
+        }
+        (false, true) => {
+            log::info!("failure domain {domain} is back");
+            domains.remove(domain);
+        }
+        (true, true) | (false, false) => {}
+    }
 }
 
 impl Operator {
@@ -50,53 +74,60 @@
         let adapter = &self.shared.adapter;
         match (adapter.subject(&record.key), &record.value) {
             (adapter::Subject::Configuration, Some(value)) => self.configure(record.offset, value),
-            (adapter::Subject::Drained(domain), Some(_)) => {
-                self.missing.borrow_mut().remove(&domain);
-                let mut drained_domains = self.shared.drained_domains.borrow_mut();
-                // A record that is read again must not restart the time to drain.
-                drained_domains.entry(domain).or_insert_with_key(|domain| {
-                    log::info!("failure domain {domain} is taken out");
-                    clock::now()
-                });
-            }
-            (adapter::Subject::Drained(domain), None) => {
-                self.missing.borrow_mut().remove(&domain);
-                let removed = self.shared.drained_domains.borrow_mut().remove(&domain);
-                removed.inspect(|_| log::info!("failure domain {domain} is back"));
+            (adapter::Subject::Drained(domain), value) => {
+                self.doubted.borrow_mut().remove(&domain);
+                set_drained(&self.shared, &domain, value.is_some());
             }
             _ => {}
         }
         self.shared.record_drains(record.offset);
     }
 
-    /// Keeps domains drained whose records a restored log lacks, until these are written
-    /// again or [`REWRITE_MS`] have passed.
-    fn keep_missing(&self, present: &[adapter::Subject]) {
+    /// Keeps what is known of each failure domain of which a restored log shows another state,
+    /// until its record is written again or [`REWRITE_MS`] have passed.
+    fn keep_doubted(&self, present: &BTreeSet<model::DomainName>) {
         let until = clock::now() + REWRITE_MS;
-        let drained = self.shared.drained_domains.borrow();
-        for domain in drained.keys() {
-            if !present.contains(&adapter::Subject::Drained(domain.clone())) {
-                log::warn!("the restored log lacks the drain of failure domain {domain}");
-                self.missing.borrow_mut().insert(domain.clone(), until);
-            }
+        let known: BTreeSet<_> = self
+            .shared
+            .drained_domains
+            .borrow()
+            .keys()
+            .cloned()
+            .collect();
+        for domain in known.symmetric_difference(present) {
+            let drained = present.contains(domain);
+            log::warn!("failure domain {domain}: drained in the restored log: {drained}");
+            let doubt = Doubt { drained, until };
+            self.doubted.borrow_mut().insert(domain.clone(), doubt);
         }
-        drop(drained);
-        let (shared, missing) = (Rc::clone(&self.shared), Rc::clone(&self.missing));
+        let (shared, doubted) = (Rc::clone(&self.shared), Rc::clone(&self.doubted));
         tokio::task::spawn_local(async move {
             tokio::time::sleep(Duration::from_millis(REWRITE_MS)).await;
             let now = clock::now();
-            let mut drained = shared.drained_domains.borrow_mut();
-            missing.borrow_mut().retain(|domain, until| {
-                let is_kept = now < *until;
+            doubted.borrow_mut().retain(|domain, doubt| {
+                let is_kept = now < doubt.until;
                 if !is_kept {
-                    drained.remove(domain);
-                    log::info!("failure domain {domain} is back: its drain was not written again");
+                    set_drained(&shared, domain, doubt.drained);
                 }
                 is_kept
             });
+            shared.wake_coordinator.notify_one();
         });
     }
 
+    /// Ends the drains of domains that are not in `present`, except for those in doubt.
+    fn end_missing(&self, present: &BTreeSet<model::DomainName>) {
+        let known: Vec<_> = {
+            let drained = self.shared.drained_domains.borrow();
+            drained.keys().cloned().collect()
+        };
+        for domain in &known {
+            if !present.contains(domain) && !self.doubted.borrow().contains_key(domain) {
+                set_drained(&self.shared, domain, false);
+            }
+        }
+    }
+
     /// Puts a configuration into effect unless its version is known or it is invalid.
     fn configure(&self, offset: model::Offset, value: &[u8]) {
         let revision = match self.shared.adapter.parse_configuration(value) {
@@ -126,25 +157,24 @@
 
 impl Handler for Operator {
     fn replace(&mut self, records: Vec<adapter::Record>, end: model::Offset, _source: Source) {
-        let present: Vec<_> = records
-            .iter()
-            .filter(|record| record.value.is_some())
-            .map(|record| self.shared.adapter.subject(&record.key))
-            .collect();
+        let drained = |record: &adapter::Record| match self.shared.adapter.subject(&record.key) {
+            adapter::Subject::Drained(domain) if record.value.is_some() => Some(domain),
+            _ => None,
+        };
+        let present: BTreeSet<_> = records.iter().filter_map(drained).collect();
         if self.era.on_full_read(end) {
-            self.keep_missing(&present);
+            self.keep_doubted(&present);
         }
-        let missing = self.missing.borrow();
-        self.shared
-            .drained_domains
-            .borrow_mut()
-            .retain(|domain, _| {
-                let drained = adapter::Subject::Drained(domain.clone());
-                present.contains(&drained) || missing.contains_key(domain)
-            });
-        drop(missing);
+        self.end_missing(&present);
         self.shared.record_drains(end);
-        for record in &records {
+        let is_doubted = |record: &adapter::Record| {
+            let domain = match self.shared.adapter.subject(&record.key) {
+                adapter::Subject::Drained(domain) => domain,
+                _ => return false,
+            };
+            self.doubted.borrow().contains_key(&domain)
+        };
+        for record in records.iter().filter(|record| !is_doubted(record)) {
             self.apply_record(record);
         }
         self.shared.wake_coordinator.notify_one();
