Keep removals in doubt until a restored log is written again

What callers could see: after a restore, targets that serve are given up at once at a daemon that another one, which has not read the log since, tells that the log has answered it all the time.

Cause: that ends the doubt for an outage, and ended the one for a restore as well.

Change: the doubt for a restore ends only after its 2 s.

Measured: clear_outage_restored, red without the change. Found in review.

--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -256,9 +256,12 @@
     }
 
     /// Records that the log served other daemons while it did not answer this one, so that
-    /// removals are not due to an outage.
+    /// removals are not due to an outage. They may still be due to a restore of the log, of
+    /// which the other daemons need not know yet.
     pub fn clear_outage(&mut self) {
-        self.log = LogState::Available;
+        if !self.rewriting {
+            self.log = LogState::Available;
+        }
     }
 
     /// Performs delayed removals that are due and drops expired data of removed targets.
--- a/tests/gateway_registry.rs
+++ b/tests/gateway_registry.rs
@@ -328,6 +328,24 @@
     }
 }
 
+/// Guards against a removal at once because another daemon, which has not seen the restore
+/// yet, says that the log has answered it all the time.
+#[test]
+fn clear_outage_restored() {
+    let mut registry = registry();
+    registry.set_outage(Millis(500), true);
+    registry.on_log_restored(Millis(1_000));
+    registry.replace(Millis(1_000), vec![entry("t0", 5, 4)]);
+    registry.clear_outage();
+    registry.sweep(Millis(2_900));
+    assert_eq!(listed(&registry), "t0 t1");
+    registry.sweep(Millis(3_000));
+    registry.set_outage(Millis(4_000), true);
+    registry.clear_outage();
+    registry.remove(Millis(4_100), "t0");
+    assert_eq!(listed(&registry), "");
+}
+
 /// Guards against a target that counts as ready because a restored log shows an older entry
 /// of it, and against one that is back because its removal is lost.
 #[test]
