Append the host's record again if only its append preceded the restore

What callers could see: a daemon whose record was appended before a restore, and whose first full read of the hosts came after it, stays unknown to daemons that start later.

Cause: the restore was detected by two full reads in different eras.

Change: the era of the append counts.

Measured: hosts_after_restore passes as before; the case itself is found in review and not reproduced.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -683,7 +683,6 @@
     };
     let hosts = readers::Hosts {
         shared: Rc::clone(shared),
-        era: readers::LastEra::default(),
     };
     let plan = |topic, wait, interval_ms| Plan {
         topic,
@@ -718,7 +717,8 @@
         if let Ok(answer) = call(&shared, Topic::Hosts, request, ANSWER_TIMEOUT_MS).await {
             let appended = shared.adapter.parse_append(&answer);
             shared.counters.on_call(Topic::Hosts, appended);
-            if let adapter::AppendOutcome::Written(_) = appended {
+            if let adapter::AppendOutcome::Written(offset) = appended {
+                shared.host_record.set(Some(offset));
                 return;
             }
         }
--- a/src/gateway/feed/readers.rs
+++ b/src/gateway/feed/readers.rs
@@ -318,7 +318,6 @@
 /// Applies hosts' records to the directory of daemons.
 pub(super) struct Hosts {
     pub(super) shared: Rc<Shared>,
-    pub(super) era: LastEra,
 }
 
 impl Hosts {
@@ -340,7 +339,10 @@
         }
         let own = self.shared.settings.host.as_str();
         let is_listed = records.iter().any(|record| &*record.key == own);
-        if self.era.on_full_read(end) && !is_listed {
+        let appended = self.shared.host_record.get();
+        let is_lost = appended.is_some_and(|at| at.era() < end.era()) && !is_listed;
+        if is_lost {
+            self.shared.host_record.set(None);
             log::info!("the restored log lacks this host's record; appending it again");
             tokio::task::spawn_local(append_host(Rc::clone(&self.shared)));
         }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -50,6 +50,8 @@
     pub registry: RefCell<registry::Registry>,
     /// Whether the list of targets was read at least once.
     pub targets_read: Cell<bool>,
+    /// Offset at which this host's record was appended.
+    pub host_record: Cell<Option<model::Offset>>,
     /// Era of the log in the last full read of the list of targets.
     pub log_era: Cell<u64>,
     /// Start of this daemon's last successful read of the list of targets, made after
@@ -136,6 +138,7 @@
             registry: RefCell::default(),
             targets_read: Cell::default(),
             targets_read_at: Cell::default(),
+            host_record: Cell::default(),
             log_era: Cell::default(),
             answering_since: Cell::default(),
             outage_since: Cell::default(),
