Read the key table's topic to its end before judging it

What callers could see: two targets hold the same keys (OWNER) if a daemon that is more than a megabyte of tables behind takes over: the log answers with a part of the records, and the last one of the part counted as the newest. Besides, a daemon's read that shows only records without a readable key left its state machine without further reads.

Cause: a batch counted as complete although it names a later end; and a read without tables was reported with the position behind what it skipped.

Change: the state machine's own read goes on until the end; a follower's partial batch counts as ending after its records, so that an append there fails; and a read without tables names the position at which it began.

Measured: on_unchanged_unreadable_key (by the reviewer) was red, with 1 read in 5 s where 5 are due. Its test now names the position of the read, as the daemon does. The partial batch is found in review and not reproduced.

--- a/src/gateway/executor.rs
+++ b/src/gateway/executor.rs
@@ -257,7 +257,7 @@
     }
 
     fn apply(&mut self, batch: adapter::Batch, source: feed::Source) -> Vec<adapter::Record> {
-        let read = feed::last_table(&batch);
+        let read = feed::last_table(batch.next, &batch);
         self.on_read(read, source);
         feed::newest_record(&batch.records)
             .cloned()
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -753,13 +753,23 @@
     let Some(from) = from else {
         return newest_table(shared).await;
     };
-    let batch = match read(shared, Topic::Table, from, wait).await {
-        Err(CallError::Answer(error)) if error.is_position_lost() => {
-            return newest_table(shared).await;
+    let mut all: Option<adapter::Batch> = None;
+    loop {
+        let next = all.as_ref().map_or(from, |batch| batch.next);
+        let batch = match read(shared, Topic::Table, next, wait).await {
+            Err(CallError::Answer(error)) if error.is_position_lost() => {
+                return newest_table(shared).await;
+            }
+            batch => batch?,
+        };
+        let is_last = batch.next >= batch.end || batch.next == next;
+        let all = all.get_or_insert_default();
+        (all.next, all.end) = (batch.next, batch.end);
+        all.records.extend(batch.records);
+        if is_last {
+            return Ok(last_table(from, all));
         }
-        batch => batch?,
-    };
-    Ok(last_table(&batch))
+    }
 }
 
 /// Returns the newest of some records of the key table, by the era in which each was
@@ -770,14 +780,18 @@
         .max_by_key(|record| (keys::record_offset(record), record.offset))
 }
 
-/// Returns the last key table of a batch of records.
-pub(crate) fn last_table(batch: &adapter::Batch) -> TableRead {
+/// Returns the last key table of a batch of records read from `from` on.
+///
+/// If the response was too short for all records, the topic counts as ending after those
+/// read, so that an append after them fails.
+pub(crate) fn last_table(from: model::Offset, batch: &adapter::Batch) -> TableRead {
+    let end = batch.end.min(batch.next);
     match newest_record(&batch.records) {
         Some(record) => {
             let offset = keys::record_offset(record);
-            TableRead::Record(offset, batch.end, decode_table(record))
+            TableRead::Record(offset, end, decode_table(record))
         }
-        None => TableRead::Unchanged(batch.next, batch.end),
+        None => TableRead::Unchanged(from, end),
     }
 }
 
--- a/tests/gateway_coordinator/restored.rs
+++ b/tests/gateway_coordinator/restored.rs
@@ -293,8 +293,9 @@
                 if action == coordinator::Action::Read {
                     reads += 1;
                     rig.end += std::mem::take(&mut skipped);
+                    let from = rig.coordinator.read_offset().unwrap();
                     let end = model::Offset(rig.end);
-                    rig.coordinator.on_unchanged(now, now, end, end);
+                    rig.coordinator.on_unchanged(now, now, from, end);
                 }
             }
         }
