Use the usual terms for the log's return, and an enum for a term's predecessor

Two flags of begin_term are one enum; a constant and a closure are where and what they say. No change of behaviour.

--- a/src/gateway/coordinator/takeover.rs
+++ b/src/gateway/coordinator/takeover.rs
@@ -6,6 +6,16 @@
 use crate::gateway::keys;
 use crate::model;
 
+/// Record before the one with which a term begins; it decides which leases may last.
+enum Predecessor {
+    /// There was none, so that no target holds keys.
+    None,
+    /// Its table, or the era of the run's fences, tells which keys may be held by whom.
+    Known,
+    /// It can't be decoded, so that any target may hold any key.
+    Unreadable,
+}
+
 impl super::Coordinator {
     /// Records that the log answered a read that started at `started`.
     pub(super) fn on_read_answered(&mut self, started: clock::Millis) {
@@ -108,7 +118,13 @@
         let own = table
             .as_ref()
             .is_some_and(|table| table.host == self.host && table.incarnation == self.incarnation);
-        let previous = (self.log.offset.replace(offset), self.log.table.is_some());
+        let known = (self.log.offset.replace(offset), &self.log.table);
+        let predecessor = match known {
+            // Leases by lost records may last even if a restored log has no record.
+            (None, _) if offset.era() == 0 => Predecessor::None,
+            (Some(_), None) => Predecessor::Unreadable,
+            (None, _) | (Some(_), Some(_)) => Predecessor::Known,
+        };
         if offset.era() == self.era() {
             self.log.reclaiming = false;
         }
@@ -123,23 +139,22 @@
             }
             self.failures.clear();
         } else if self.earlier_leases.is_none() {
-            // Leases by lost records may last even if a restored log has no record.
-            let first = previous.0.is_none() && offset.era() == 0;
-            let readable = previous.0.is_none() || previous.1;
-            self.begin_term(now, first, readable);
+            self.begin_term(now, predecessor);
             self.term_offset = offset;
         }
         self.log.table = table;
         self.sync_orders(now, offset);
     }
 
-    /// Begins the term of this daemon as the coordinator. `first` says that no record was
-    /// known before, `readable` that the known record was decoded.
-    pub(super) fn begin_term(&mut self, now: clock::Millis, first: bool, readable: bool) {
-        let wait = super::AUTHORITY_MS + super::max_hold_ms(self.max_lease);
-        self.earlier_leases = Some(if first { now } else { now + wait });
-        if !first && !readable {
-            self.grants_from = now + wait;
+    /// Begins the term of this daemon as the coordinator.
+    fn begin_term(&mut self, now: clock::Millis, predecessor: Predecessor) {
+        let end = now + (super::AUTHORITY_MS + super::max_hold_ms(self.max_lease));
+        self.earlier_leases = Some(match predecessor {
+            Predecessor::None => now,
+            Predecessor::Known | Predecessor::Unreadable => end,
+        });
+        if let Predecessor::Unreadable = predecessor {
+            self.grants_from = end;
         }
         self.term_start = now;
         self.next_batch = now + super::BATCH_INTERVAL_MS;
--- a/src/gateway/exchange/selection.rs
+++ b/src/gateway/exchange/selection.rs
@@ -336,6 +336,10 @@
 /// milliseconds: a pause may end early for it by a new instance or another owner.
 const MAX_RETRY_AFTER_MS: u64 = 5_000;
 
+/// The return of refused callers is spread over one part in this many of the time until
+/// the first of them.
+const RETRY_SPREAD_DIVISOR: u64 = 2;
+
 /// Returns the time after which the caller of a refused request may retry, in milliseconds.
 /// Callers that are refused because of what targets said of themselves get times after the
 /// end of the first pause, spread by `random`, a number from 0 to 1.
@@ -371,7 +375,3 @@
     let spread = RETRY_AFTER_MS.max(least / RETRY_SPREAD_DIVISOR);
     least + (spread as f64 * random) as u64
 }
-
-/// The return of refused callers is spread over one part in this many of the time until
-/// the first of them.
-const RETRY_SPREAD_DIVISOR: u64 = 2;
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -175,7 +175,7 @@
     tokio::select! {
         biased;
         batch = first.as_mut() => return batch,
-        _ = shared.log_restored.notified() => return read(shared, topic, from, 0).await,
+        _ = shared.log_returned.notified() => return read(shared, topic, from, 0).await,
         _ = tokio::time::sleep(Duration::from_millis(wait + late)) => {}
     }
     shared.client.close_idle(log_peer(shared));
@@ -362,7 +362,7 @@
             let pause = tokio::time::sleep(Duration::from_millis(pause));
             tokio::select! {
                 _ = pause => {}
-                _ = shared.log_restored.notified(), if plan.topic != Topic::Targets => {}
+                _ = shared.log_returned.notified(), if plan.topic != Topic::Targets => {}
                 _ = shared.reader_progress.notified(), if position.failures > 0 => {}
             }
         }
--- a/src/gateway/feed/readers.rs
+++ b/src/gateway/feed/readers.rs
@@ -30,7 +30,7 @@
 impl LastEra {
     /// Records a full read up to `end`, and returns whether the log was restored from an
     /// older copy since the one before.
-    fn on_full_read(&mut self, end: model::Offset) -> bool {
+    fn detects_restore(&mut self, end: model::Offset) -> bool {
         let before = self.0.replace(end.era());
         before.is_some_and(|era| era < end.era())
     }
@@ -162,7 +162,7 @@
             _ => None,
         };
         let present: BTreeSet<_> = records.iter().filter_map(drained).collect();
-        if self.era.on_full_read(end) {
+        if self.era.detects_restore(end) {
             self.keep_doubted(&present);
         }
         self.end_missing(&present);
@@ -221,7 +221,7 @@
         if let Some(since) = self.outage_since.take() {
             log::info!("the log answers again after {} ms", now.since(since));
             self.shared.registry.borrow_mut().set_outage(now, false);
-            self.shared.log_restored.notify_waiters();
+            self.shared.log_returned.notify_waiters();
         }
         if let Source::Own(started) = source {
             let answering = self.shared.answering_since.get();
@@ -256,7 +256,7 @@
     fn replace(&mut self, records: Vec<adapter::Record>, end: model::Offset, source: Source) {
         self.on_answer(source);
         self.shared.log_era.set(end.era());
-        if self.era.on_full_read(end) {
+        if self.era.detects_restore(end) {
             let event = history::Event::LogRestored { era: end.era() };
             self.shared.history.add(clock::now(), Some(end), event);
             self.shared
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -360,7 +360,7 @@
     };
     let targets: Vec<_> = {
         let registry = shared.registry.borrow();
-        let unknown = |instance: &&choice::Instance| {
+        let is_listed_ready = |instance: &&choice::Instance| {
             let target = registry.get(&instance.target);
             target.is_some_and(|target| {
                 let service = catalog.service(&target.service);
@@ -369,8 +369,9 @@
                     && service.is_some_and(|service| service.keyed)
             })
         };
-        let unknown = instances.iter().filter(unknown).take(MAX_LEAVING);
-        unknown
+        let listed = instances.iter().filter(is_listed_ready);
+        listed
+            .take(MAX_LEAVING)
             .map(|instance| (instance.target.clone(), instance.birth))
             .collect()
     };
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -124,7 +124,7 @@
     /// The log does not answer.
     Unavailable,
     /// The log has answered again since this time.
-    Restored(clock::Millis),
+    Returned(clock::Millis),
 }
 
 impl LogState {
@@ -133,7 +133,7 @@
         match self {
             Self::Available => false,
             Self::Unavailable => true,
-            Self::Restored(at) => now.since(at) <= DOUBT_MS,
+            Self::Returned(at) => now.since(at) <= DOUBT_MS,
         }
     }
 
@@ -142,7 +142,7 @@
         match self {
             Self::Available => true,
             Self::Unavailable => false,
-            Self::Restored(at) => now.since(at) >= RELIST_MS,
+            Self::Returned(at) => now.since(at) >= RELIST_MS,
         }
     }
 }
@@ -231,7 +231,7 @@
     /// until they are written again, possibly unchanged. To be called before the list is
     /// read again.
     pub fn on_log_restored(&mut self, now: clock::Millis) {
-        self.log = LogState::Restored(now);
+        self.log = LogState::Returned(now);
         self.rewriting = true;
     }
 
@@ -250,7 +250,7 @@
     pub fn set_outage(&mut self, now: clock::Millis, out: bool) {
         self.log = match (self.log, out) {
             (_, true) => LogState::Unavailable,
-            (LogState::Unavailable, false) => LogState::Restored(now),
+            (LogState::Unavailable, false) => LogState::Returned(now),
             (log, false) => log,
         };
     }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -86,7 +86,7 @@
     /// Wakes requests that wait for a new owner of their key.
     pub owner_changed: Notify,
     /// Wakes tasks that wait to read from the log, once the log is available again.
-    pub log_restored: Notify,
+    pub log_returned: Notify,
     /// Wakes paused readers when another daemon reports that it reads the log.
     pub reader_progress: Notify,
     /// Wakes the coordinator's loop.
@@ -153,7 +153,7 @@
             cold_limiters: RefCell::default(),
             table: RefCell::default(),
             owner_changed: Notify::new(),
-            log_restored: Notify::new(),
+            log_returned: Notify::new(),
             reader_progress: Notify::new(),
             wake_coordinator: Notify::new(),
             key_demand: RefCell::default(),
