Name the evidence on which a wait for an owner of keys ends

Callers saw two owners of a key; the coordinator's logs could not say why the second one got it, since a wait that ended left no trace. Each end now has a log line at info (keys, fence, former owner, evidence) and a counter gateway_owner_waits_total{evidence}: lease_ended, released, restarted, connections_refused.

--- a/src/gateway/coordinator.rs
+++ b/src/gateway/coordinator.rs
@@ -8,6 +8,7 @@
 mod acknowledgements;
 mod balance;
 mod failures;
+mod freed;
 mod load;
 mod orders;
 mod plan;
@@ -23,6 +24,8 @@
 use crate::gateway::keys;
 use crate::model;
 
+pub use self::freed::{Evidence, Freed};
+
 /// Time for which the coordinator may act after the start of a read or append that showed
 /// its record as the newest one.
 pub const AUTHORITY_MS: u64 = 2_500;
@@ -310,6 +313,8 @@
     failures: BTreeMap<keys::Owner, failures::Failures>,
     /// Grants that a target may still apply.
     uncertain: Vec<UncertainGrant>,
+    /// Waits for former owners that ended and were not reported yet.
+    freed: Vec<Freed>,
     /// Ranges that moved recently, with the times of the moves.
     moved: Vec<(model::ServiceName, adapter::KeyRange, clock::Millis)>,
     /// Earliest time of the next batch of moves.
@@ -365,6 +370,7 @@
             lease_ends: BTreeMap::new(),
             failures: BTreeMap::new(),
             uncertain: Vec::new(),
+            freed: Vec::new(),
             moved: Vec::new(),
             next_batch: now,
             next_order: now,
--- a/src/gateway/coordinator/orders.rs
+++ b/src/gateway/coordinator/orders.rs
@@ -271,17 +271,20 @@
         self.uncertain_until(service, owner, range).max(earlier)
     }
 
-    /// Returns whether the previous owner of a run no longer holds keys of `range`.
-    pub(super) fn is_free(
+    /// Returns why the previous owner of a run holds no keys of `range`, whether or not it
+    /// answered the release.
+    pub(super) fn evidence(
         &self,
         now: clock::Millis,
         service: &model::ServiceName,
         prior: &keys::Owner,
         range: adapter::KeyRange,
-    ) -> bool {
+    ) -> Option<super::Evidence> {
         match self.owner_state(now, service, prior) {
-            super::OwnerState::Ended | super::OwnerState::Restarted(_) => true,
-            _ => now >= self.free_at(service, prior, range),
+            super::OwnerState::Ended => Some(super::Evidence::ConnectionsRefused),
+            super::OwnerState::Restarted(_) => Some(super::Evidence::Restarted),
+            _ if now >= self.free_at(service, prior, range) => Some(super::Evidence::LeaseEnded),
+            _ => None,
         }
     }
 
@@ -325,9 +328,19 @@
             }
             _ => None,
         };
+        let released = free.filter(|at| now >= *at);
         if let (Some(prior), None) = (&run.previous_owner, order.prior_free)
-            && (free.is_some_and(|at| now >= at) || self.is_free(now, service, prior, run.range))
+            && let Some(evidence) = self
+                .evidence(now, service, prior, run.range)
+                .or(released.map(|_| super::Evidence::Released))
         {
+            self.freed.push(super::Freed {
+                service: service.clone(),
+                owner: prior.clone(),
+                keys: run.range.len(),
+                fence: run.fence,
+                evidence,
+            });
             order.prior_free = Some(now);
             self.cleanup.get_or_insert(now + super::CLEANUP_DELAY_MS);
             self.dirty = true;
--- a/src/gateway/counters.rs
+++ b/src/gateway/counters.rs
@@ -66,6 +66,12 @@
     outcome: &'static str,
 }
 
+/// Label of ended waits for former owners of keys.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct EvidenceLabel {
+    evidence: &'static str,
+}
+
 /// Kind of an order, by which the coordinator changes a target's grants.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum OrderKind {
@@ -223,6 +229,7 @@
     route_seconds: Family<RouteLabel, Histogram, fn() -> Histogram>,
     log_results: Family<CallLabels, Counter>,
     order_results: Family<OrderLabels, Counter>,
+    owner_waits: Family<EvidenceLabel, Counter>,
     view_ages: Family<TopicLabel, Histogram, fn() -> Histogram>,
     read_seconds: Family<TopicLabel, Histogram, fn() -> Histogram>,
     gauges: Gauges,
@@ -253,6 +260,7 @@
             route_seconds: Family::new_with_constructor(new_histogram),
             log_results: Family::default(),
             order_results: Family::default(),
+            owner_waits: Family::default(),
             view_ages: Family::new_with_constructor(new_age_histogram),
             read_seconds: Family::new_with_constructor(new_age_histogram),
             gauges: Gauges::default(),
@@ -324,6 +332,8 @@
         registry.register("log_results", help, self.log_results.clone());
         let help = "Orders to targets by kind and outcome";
         registry.register("order_results", help, self.order_results.clone());
+        let help = "Waits for former owners of keys that ended, by evidence";
+        registry.register("owner_waits", help, self.owner_waits.clone());
         let help = "Age of the view of a topic just before it is renewed";
         registry.register("view_age_at_renewal_seconds", help, self.view_ages.clone());
         let help = "Time of own reads of a topic that wait for no record";
@@ -447,6 +457,14 @@
         self.order_results.get_or_create(&label).inc();
     }
 
+    /// Counts the end of a wait for a former owner of keys.
+    pub fn on_freed(&self, evidence: coordinator::Evidence) {
+        let label = EvidenceLabel {
+            evidence: evidence.label(),
+        };
+        self.owner_waits.get_or_create(&label).inc();
+    }
+
     /// Sets the gauges to `values` and returns all metrics as OpenMetrics text.
     pub fn render(&self, values: GaugeValues) -> String {
         self.gauges.version.set(values.version);
--- a/src/gateway/executor.rs
+++ b/src/gateway/executor.rs
@@ -347,6 +347,10 @@
             state.on_daemons(shared.peers.borrow().count_live(now));
             state.on_targets(now, shared.targets_read_at.get(), members, services);
             let actions = state.poll(now, rank);
+            for freed in state.take_freed() {
+                log::info!("{freed}");
+                shared.counters.on_freed(freed.evidence);
+            }
             let ejected = state.ejected_owners();
             shared.history.set_ejected(now, state.offset(), ejected);
             drop(state);
--- a/tests/gateway_coordinator/owners.rs
+++ b/tests/gateway_coordinator/owners.rs
@@ -291,3 +291,45 @@
     assert!(first >= Some(earliest), "{first:?} before {earliest}");
     assert!(first <= Some(earliest + 100), "{first:?} after {earliest}");
 }
+
+/// Guards against waits whose end does not say on what evidence keys move, so that
+/// operators can't tell a lease that ended from a shortcut.
+#[test]
+fn take_freed_evidence() {
+    let evidence = |rig: &mut Rig| -> Vec<_> {
+        let freed = rig.coordinator.take_freed().into_iter();
+        freed.map(|freed| (freed.owner, freed.evidence)).collect()
+    };
+    let mut rig = Rig::new(vec![ready("a"), ready("b")]);
+    rig.run(6_000, done);
+    rig.coordinator.take_freed();
+    rig.run(8_000, ignore("a"));
+    assert_eq!(
+        evidence(&mut rig),
+        [(owner("a", 1), coordinator::Evidence::LeaseEnded)]
+    );
+    let draining = member("b", 1.0, coordinator::MemberState::Draining);
+    let members = vec![draining, ready("c")];
+    let now = Millis(rig.now);
+    rig.coordinator
+        .on_targets(now, Some(now), members, services());
+    rig.run(100, done);
+    let freed = evidence(&mut rig);
+    let released = (owner("b", 1), coordinator::Evidence::Released);
+    assert!(!freed.is_empty() && freed.iter().all(|freed| *freed == released));
+    let leaving = member("c", 1.0, coordinator::MemberState::Draining);
+    let now = Millis(rig.now);
+    rig.coordinator
+        .on_targets(now, Some(now), vec![leaving, ready("d")], services());
+    rig.run(100, ignore("c"));
+    assert_eq!(evidence(&mut rig), []);
+    let mut restarted = ready("c");
+    restarted.owner.birth = 2;
+    let now = Millis(rig.now);
+    rig.coordinator
+        .on_targets(now, Some(now), vec![restarted, ready("d")], services());
+    rig.run(100, done);
+    let freed = evidence(&mut rig);
+    let restarted = (owner("c", 1), coordinator::Evidence::Restarted);
+    assert!(!freed.is_empty() && freed.iter().all(|freed| *freed == restarted));
+}
--- a/tests/gateway_metrics.rs
+++ b/tests/gateway_metrics.rs
@@ -88,6 +88,7 @@
         counters::OrderKind::Grant,
         &coordinator::OrderOutcome::Fenced,
     );
+    metrics.on_freed(coordinator::Evidence::Released);
     let restored: Result<(), _> = Err(adapter::ReadError::Restored(3));
     metrics.on_call(topic, &restored);
     let values = counters::GaugeValues {
@@ -100,6 +101,8 @@
         let name = r#"gateway_log_results_total{topic="table","#;
         assert_line(&text, &format!(r#"{name}outcome="{outcome}"}} 1"#));
     }
+    let freed = r#"gateway_owner_waits_total{evidence="released"} 1"#;
+    assert_line(&text, freed);
     let order = r#"gateway_order_results_total{kind="grant",outcome="fenced"} 1"#;
     assert_line(&text, order);
 }
