Keep sums of times within their range

Callers got no answer on a route whose timeout is the largest that can be written ("1e300s"), if they stated the largest deadline. The task of the connection ended with "attempt to add with overflow" in src/clock.rs; a release build would wrap the deadline to a time that has passed and refuse the request. A page of /admin/explain ended the same way.

Cause: clock::Millis + u64 was an unchecked addition of a number that configurations, callers and targets' entries give.

Before: time_add_beyond_range panicked at src/clock.rs:25, configuration_extreme got no response (status 0 for 200). After: both pass. The sum now stays at the highest time, which is never reached, as the difference of times already stayed at zero.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -21,8 +21,10 @@
 impl Add<u64> for Millis {
     type Output = Self;
 
+    /// Durations come from configurations and callers as well. A sum beyond the range is a
+    /// time that is never reached, and must not wrap to one that has passed.
     fn add(self, millis: u64) -> Self {
-        Self(self.0 + millis)
+        Self(self.0.saturating_add(millis))
     }
 }
 
