--- a/src/gateway/adapter.rs
+++ b/src/gateway/adapter.rs
@@ -4,7 +4,7 @@
 //! and to targets, and parses their answers. Connections, timeouts, retries, decisions
 //! and state belong to the gateway.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -129,6 +129,14 @@
     Unknown,
 }
 
+/// Returns whether an address names one host and a port, so that something can be sent
+/// there. A connection to an unspecified address would reach this host.
+pub fn is_destination(address: SocketAddr) -> bool {
+    let ip = address.ip().to_canonical();
+    let is_broadcast = matches!(ip, IpAddr::V4(ip) if ip.is_broadcast());
+    address.port() != 0 && !ip.is_unspecified() && !ip.is_multicast() && !is_broadcast
+}
+
 /// State of a target in its entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EntryState {
