Read the newest records of the log one by one

A daemon that started while the log held one record that can't be read never became ready, and one that had to read a topic anew stopped following it: one faulty item (a value that is not base64, an offset out of range or too large, a key that is no text, deep nesting) failed the whole page, again and again.

Each item is now parsed by itself. One that can't be read is logged; its key counts as present, so that a target or a drained failure domain is not taken for removed. The key table stays strict: an older table must not pass for the newest one, so such a page is refused there.

--- a/src/gateway/adapter.rs
+++ b/src/gateway/adapter.rs
@@ -76,11 +76,22 @@
     pub end: model::Offset,
 }
 
+/// Record of a page that can't be read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Unreadable {
+    /// Key of the record, unless that can't be read either.
+    pub key: Option<Arc<str>>,
+    /// What can't be read.
+    pub finding: finding::Finding,
+}
+
 /// Answer to a read of the newest record of each key.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Page {
     /// Newest records, by key.
     pub records: Vec<Record>,
+    /// Records that can't be read; the others of the page hold.
+    pub unreadable: Vec<Unreadable>,
     /// Key after which the next page begins, if there are more.
     pub after: Option<Arc<str>>,
     /// Offset that followed the last record of the topic when the page was made.
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -216,6 +216,9 @@
         shared.counters.on_call(topic, &page);
         let page = page?;
         records.extend(page.records);
+        for unreadable in page.unreadable {
+            records.extend(keep_unreadable(topic, page.end, unreadable)?);
+        }
         // Later pages may miss records written after the first one, so that reading
         // goes on from the end that the first page named.
         let end = *end.get_or_insert(page.end);
@@ -230,6 +233,28 @@
     }
 }
 
+/// Returns a record that can't be read as one with an empty value, which no reader of a topic
+/// accepts, so that its key does not count as removed. Its offset is below that of all records
+/// that are read later. A record without a readable key is left out.
+///
+/// # Errors
+/// Fails for the key table: an older table must not pass for the newest one.
+fn keep_unreadable(
+    topic: Topic,
+    end: model::Offset,
+    unreadable: adapter::Unreadable,
+) -> Result<Option<adapter::Record>, CallError> {
+    if topic == Topic::Table {
+        return Err(adapter::ReadError::Malformed(unreadable.finding).into());
+    }
+    log::warn!("skipped: {}", unreadable.finding);
+    Ok(unreadable.key.map(|key| adapter::Record {
+        offset: model::Offset::default().in_era(end.era()),
+        key,
+        value: Some(bytes::Bytes::new()),
+    }))
+}
+
 /// Origin of records that this daemon applies.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Source {
