Stop at a page of newest records that repeats the one before

If the log returned the same page again and again, a daemon read it without a pause, and kept the records of each: more calls and more memory until the process ended.

A page that ends at the key after which it was to begin counts as malformed, and the read is repeated after the usual pause.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -227,6 +227,14 @@
             return Err(adapter::ReadError::Restored(page.end.era()).into());
         }
         match page.after {
+            Some(key) if after.as_ref() == Some(&key) => {
+                let finding = finding::Finding {
+                    place: "response of the log to a read of newest records".to_owned(),
+                    expected: format!("a page that ends after key {key:?}"),
+                    found: "one that ends there as well".to_owned(),
+                };
+                return Err(adapter::ReadError::Malformed(finding).into());
+            }
             Some(key) => after = Some(key),
             None => return Ok((records, end)),
         }
