Apply the last readable entry of a target in each batch

Callers' requests went on to a target that drains, or was removed, if another writer's unreadable record under its name followed in the same read of the list. The daemon looked only at the last record of each key and skipped it when it could not be read, and the entry before it was lost until the target wrote again.

A record that can't be read counts as not written: the last one of the key that can be read, or removes the key, is applied. Records that can't be read are no longer passed on either.

--- a/src/gateway/feed/readers.rs
+++ b/src/gateway/feed/readers.rs
@@ -284,26 +284,37 @@
         self.on_answer(source);
         let before = self.shared.registry.borrow().generation();
         let now = clock::now();
-        // Only the last record of a key counts; the earlier ones are not parsed.
+        // Only the last record of a key that can be read counts; the earlier ones are not
+        // parsed. One that can't be read must not hide that its target drains or was removed.
         let mut seen = HashSet::new();
-        let mut newest: Vec<adapter::Record> = batch.records.into_iter().rev().collect();
-        newest.retain(|record| seen.insert(Arc::clone(&record.key)));
+        let mut newest = Vec::new();
+        for record in batch.records.into_iter().rev() {
+            if seen.contains(&record.key) {
+                continue;
+            }
+            let entry = self.entry(&record);
+            if entry.is_some() || record.value.is_none() {
+                seen.insert(Arc::clone(&record.key));
+                newest.push((record, entry));
+            }
+        }
         newest.reverse();
         let rewriting = now < self.rewriting_until;
         // Records that only renew a target's entry need not be passed on.
-        newest.retain(|record| {
-            let generation = self.shared.registry.borrow().generation();
-            let doubted = self.shared.registry.borrow().is_delayed(&record.key);
-            match (&record.value, self.entry(record)) {
-                (None, _) => self.shared.registry.borrow_mut().remove(now, &record.key),
-                (_, Some(entry)) => self.shared.registry.borrow_mut().apply(now, entry),
-                (_, None) => {}
+        let passed_on = newest.into_iter().filter_map(|(record, entry)| {
+            let mut registry = self.shared.registry.borrow_mut();
+            let generation = registry.generation();
+            let doubted = registry.is_delayed(&record.key);
+            match entry {
+                Some(entry) => registry.apply(now, entry),
+                None => registry.remove(now, &record.key),
             }
-            let changed = self.shared.registry.borrow().generation() != generation;
-            record.value.is_none() || changed || doubted || rewriting
+            let changed = registry.generation() != generation;
+            (record.value.is_none() || changed || doubted || rewriting).then_some(record)
         });
+        let passed_on = passed_on.collect();
         self.on_change(before, source);
-        newest
+        passed_on
     }
 
     fn failed(&mut self) {
