Keep a known target whose entry can't be read in a full read

A target whose newest entry turned unreadable stayed in use with reads of new records, but was removed by the next full read, so that daemons of one failure domain differed.

Rule: a record that can't be read says nothing. What the last readable entry said holds until a later entry or the removal of the key; a daemon that has read no other entry of the target does not use it. records_unreadable already demanded this for reads of new records.

--- a/src/gateway/feed/readers.rs
+++ b/src/gateway/feed/readers.rs
@@ -270,12 +270,17 @@
             answering.set(answering.get().and(Some(clock::now())));
         }
         let before = self.shared.registry.borrow().generation();
-        let entries = records
-            .iter()
-            .filter_map(|record| self.entry(record))
-            .collect();
+        let (mut entries, mut unreadable) = (Vec::new(), HashSet::new());
+        for record in records.iter().filter(|record| record.value.is_some()) {
+            match self.entry(record) {
+                Some(entry) => entries.push(entry),
+                None => {
+                    unreadable.insert(model::TargetName::from(&*record.key));
+                }
+            }
+        }
         let mut registry = self.shared.registry.borrow_mut();
-        registry.replace(clock::now(), entries);
+        registry.replace_readable(clock::now(), entries, &unreadable);
         drop(registry);
         self.on_change(before, source);
     }
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -213,7 +213,19 @@
     /// Here an entry that is already known cancels a delayed removal, since a full read
     /// shows that the target is listed.
     pub fn replace(&mut self, now: clock::Millis, entries: Vec<adapter::Entry>) {
-        let listed: HashSet<_> = entries.iter().map(|entry| &entry.name).collect();
+        self.replace_readable(now, entries, &HashSet::new());
+    }
+
+    /// Applies a full read of the list in which the entries of the targets `unreadable` can't
+    /// be read: what is known of these targets holds.
+    pub fn replace_readable(
+        &mut self,
+        now: clock::Millis,
+        entries: Vec<adapter::Entry>,
+        unreadable: &HashSet<model::TargetName>,
+    ) {
+        let mut listed: HashSet<_> = entries.iter().map(|entry| &entry.name).collect();
+        listed.extend(unreadable);
         let names = self.known.keys();
         let missing: Vec<_> = names.filter(|n| !listed.contains(n)).cloned().collect();
         for name in missing {
--- a/tests/gateway_entries.rs
+++ b/tests/gateway_entries.rs
@@ -43,3 +43,20 @@
     assert_eq!(START - u64::MAX, Millis(0));
     assert_eq!(START + 5, Millis(100_005));
 }
+
+/// Guards against the loss of a target in a full read that shows an entry of it that can't
+/// be read, and against one that is kept although it is not listed.
+#[test]
+fn replace_readable_held() {
+    let mut registry = Registry::new();
+    for (name, port) in [("t0", 1), ("t1", 2), ("t2", 3)] {
+        registry.apply(START, entry(name, port));
+    }
+    let generation = registry.generation();
+    let unreadable = HashSet::from(["t0", "t7"].map(TargetName::from));
+    registry.replace_readable(START + 10, vec![entry("t1", 2)], &unreadable);
+    assert_eq!(listed(&registry), ["t0", "t1"]);
+    assert_eq!(registry.generation(), generation + 1);
+    registry.remove(START + 20, "t0");
+    assert_eq!(listed(&registry), ["t1"]);
+}
