Skip records of hosts under another host's key

A record that names a host under a key other than its name replaced that host's own record: by reading of the code, heartbeats and relayed batches then go to the wrong address. Records with an address to which nothing can be sent counted as daemons for 60 s and lowered each daemon's shares of the limits.

A host appends its record under its name only, so that another key is a fault; the finding names the key.

--- a/src/gateway/feed/readers.rs
+++ b/src/gateway/feed/readers.rs
@@ -341,7 +341,7 @@
         let Some(value) = &record.value else {
             return;
         };
-        match peers::HostRecord::decode(value) {
+        match peers::HostRecord::decode(&record.key, value) {
             Ok(host) => self.shared.peers.borrow_mut().list(host, clock::now()),
             Err(findings) => log_findings(&findings),
         }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -84,20 +84,29 @@
         rmp_serde::to_vec_named(self).unwrap_or_default()
     }
 
-    /// Decodes a host's record.
+    /// Decodes the record of the host named `key`.
     ///
     /// # Errors
-    /// Returns a finding with the decoder's error.
-    pub fn decode(bytes: &[u8]) -> Result<Self, finding::Findings> {
-        rmp_serde::from_slice(bytes).map_err(|error| {
-            let mut findings = finding::Findings::default();
-            findings.add(
-                "record of a host",
-                "an encoded host record",
-                error.to_string(),
-            );
-            findings
-        })
+    /// Returns findings if the bytes can't be decoded, if they name another host, whose own
+    /// record would be replaced, or if nothing can be sent to the address.
+    pub fn decode(key: &str, bytes: &[u8]) -> Result<Self, finding::Findings> {
+        let mut findings = finding::Findings::default();
+        let place = format!("record of host {key:?}");
+        let record: Self = match rmp_serde::from_slice(bytes) {
+            Ok(record) => record,
+            Err(error) => {
+                findings.add(place, "an encoded host record", error.to_string());
+                return Err(findings);
+            }
+        };
+        if record.host.as_str() != key {
+            findings.add(&place, "this host", format!("{:?}", record.host.as_str()));
+        }
+        if !adapter::is_destination(record.address) {
+            let address = record.address.to_string();
+            findings.add(&place, "the address and port of one host", address);
+        }
+        findings.into_result(record)
     }
 }
 
--- a/tests/gateway_entries.rs
+++ b/tests/gateway_entries.rs
@@ -60,3 +60,39 @@
     registry.remove(START + 20, "t0");
     assert_eq!(listed(&registry), ["t1"]);
 }
+
+/// Guards against a host record that replaces another host's one, or by which heartbeats go
+/// nowhere, and against a decoder that ends the process.
+#[test]
+fn host_record_odd() {
+    let record = |address: &str| HostRecord {
+        host: "h0".into(),
+        incarnation: Incarnation(u64::MAX),
+        domain: "bkk-1".into(),
+        address: address.parse().expect("an address"),
+    };
+    let valid = record("10.0.0.1:7000");
+    assert_eq!(HostRecord::decode("h0", &valid.encode()), Ok(valid.clone()));
+    assert!(HostRecord::decode("h1", &valid.encode()).is_err());
+    for address in [
+        "0.0.0.0:7000",
+        "10.0.0.1:0",
+        "[::]:7000",
+        "224.0.0.1:7000",
+        "[ff02::1]:7",
+    ] {
+        let findings = HostRecord::decode("h0", &record(address).encode());
+        let text = findings.expect_err(address).to_string();
+        assert!(text.contains("h0") && text.contains(address), "{text}");
+    }
+    let nested = [0x91, 0x81, 0xc7].map(|byte| vec![byte; 100_000]);
+    let lengths: [&[u8]; 4] = [
+        &[0xdd, 0xff, 0xff, 0xff, 0xff],
+        &[0xdf, 0xff, 0xff, 0xff, 0xff],
+        &[0x94, 0xdb, 0xff, 0xff, 0xff, 0xff],
+        &[0x94, 0xc6, 0xff, 0xff, 0xff, 0xff],
+    ];
+    for bytes in nested.iter().map(Vec::as_slice).chain(lengths) {
+        assert!(HostRecord::decode("h0", bytes).is_err());
+    }
+}
