Add up a target's load report without overflow

A target that reports 2^32-1 requests in its queue ended the task of the request in a build with overflow checks. In a release build the sum would wrap, and the full target look free (by reading of the code).

Before: load_report_extreme "attempt to add with overflow" at src/gateway/choice.rs:502. After: it passes; the two figures are added as floating-point numbers.

--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -499,7 +499,7 @@
     /// Records the load that the target reported with a response.
     fn record_load(&mut self, load: adapter::LoadReport, now: clock::Millis) {
         // The report still includes the request of this response, which has ended.
-        let reported = f64::from(load.running + load.waiting);
+        let reported = f64::from(load.running) + f64::from(load.waiting);
         self.reported_requests = (reported - f64::from(self.own_requests) - 1.0).max(0.0);
         self.slowness = (f64::from(load.slowness_percent) / USUAL_SLOWNESS_PERCENT)
             .clamp(MIN_SLOWNESS, MAX_SLOWNESS);
--- a/tests/gateway_entries.rs
+++ b/tests/gateway_entries.rs
@@ -44,6 +44,49 @@
     assert_eq!(START + 5, Millis(100_005));
 }
 
+/// Guards against a load report whose sum has no place in its type: a wrapped one makes a
+/// full target look free.
+#[test]
+fn load_report_extreme() {
+    let candidate = |name: &str, slots| Candidate {
+        instance: pistachiomoor::gateway::choice::Instance {
+            target: name.into(),
+            birth: 7,
+        },
+        slots,
+        cost_ms: 0.0,
+    };
+    let candidates = [
+        candidate("t0", 4),
+        candidate("t1", u32::MAX),
+        candidate("t2", 0),
+    ];
+    let load = LoadReport {
+        running: u32::MAX,
+        waiting: u32::MAX,
+        slots: u32::MAX,
+        slowness_percent: u32::MAX,
+    };
+    let mut table = Table::new();
+    for candidate in &candidates {
+        let instance = &candidate.instance;
+        table.on_start(instance);
+        let end = AttemptOutcome::Answered(10.0);
+        table.on_end(instance, end, 10.0, Some(load), START);
+        assert!(table.requests(instance, START) > 8e9);
+        assert!(table.is_full(instance, 4, START));
+        assert!(
+            table
+                .estimate(candidate, u64::MAX as f64, START)
+                .is_finite()
+        );
+    }
+    let pick = |at| table.pick(&candidates, 10.0, at, || 0.5);
+    // The load of the target with the most slots is below its limit.
+    assert_eq!(pick(START), Pick::Chosen(1));
+    assert!(matches!(pick(START + 60_000), Pick::Chosen(_)));
+}
+
 /// Guards against the loss of a target in a full read that shows an entry of it that can't
 /// be read, and against one that is kept although it is not listed.
 #[test]
