Skip relayed records with positions that the log can't give out

A datagram with an offset above the highest one made a daemon believe that it had read all records up to there, or wait for them for ever, since offsets of progress messages never decrease.

Relayed batches are checked by relayed_invalid_positions; that check did not exist before.

The other daemon's records are still read: a batch that is left out is noticed as missing with the next progress message.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -122,6 +122,15 @@
         }
     }
 
+    /// Returns whether the positions are valid and in order. A daemon that took over others
+    /// would count records as known that it has not read.
+    pub fn is_consistent(&self) -> bool {
+        let mut offsets = self.records.iter().map(|(offset, ..)| offset);
+        let ends = [self.from, self.next, self.end];
+        let are_valid = ends.into_iter().all(model::Offset::is_valid);
+        are_valid && self.from <= self.next && offsets.all(|offset| offset.is_valid())
+    }
+
     /// Converts the batch to the form in which the log returns records.
     pub fn into_batch(self) -> adapter::Batch {
         let records = self
@@ -277,6 +286,10 @@
 
     /// Hands records that the reader passed on to the task that follows their topic.
     pub(crate) fn on_relayed(&mut self, relayed: Relayed) {
+        if !relayed.is_consistent() {
+            log::debug!("skipped relayed records with invalid positions");
+            return;
+        }
         let topic = Topic::ALL.get(usize::from(relayed.topic));
         if let Some(inbox) = topic.and_then(|topic| self.inboxes.get(topic)) {
             // The inbox is closed only when the process ends.
@@ -298,6 +311,10 @@
     /// Progress messages may arrive out of order, or from a second reader that lags, so
     /// that offsets never decrease.
     pub fn on_progress(&mut self, mut progress: Progress, now: clock::Millis) {
+        for next in &mut progress.next {
+            // An offset that the log can't give out would never be reached.
+            *next = next.filter(|next| next.is_valid());
+        }
         if let Some((_, known)) = &self.progress {
             for (next, known) in progress.next.iter_mut().zip(known.next) {
                 *next = (*next).max(known);
--- a/src/gateway/relay/exchange.rs
+++ b/src/gateway/relay/exchange.rs
@@ -100,7 +100,11 @@
 /// Decompresses and decodes a batch of records.
 pub(super) fn decode(body: &[u8]) -> io::Result<Relayed> {
     let reader = DeflateDecoder::new(body).take(MAX_ANSWER_BYTES);
-    rmp_serde::from_read(reader).map_err(io::Error::other)
+    let relayed: Relayed = rmp_serde::from_read(reader).map_err(io::Error::other)?;
+    match relayed.is_consistent() {
+        true => Ok(relayed),
+        false => Err(io::Error::other("the positions of the records are invalid")),
+    }
 }
 
 /// Accepts connections of other daemons and serves their requests; never returns.
--- a/src/model.rs
+++ b/src/model.rs
@@ -89,6 +89,11 @@
         valid.then_some(Self(era << Self::NUMBER_BITS | number))
     }
 
+    /// Returns whether the log can give out this position.
+    pub fn is_valid(self) -> bool {
+        self.era() <= Self::MAX_ERA
+    }
+
     /// Returns the era of the log in which the position was given out.
     pub fn era(self) -> u64 {
         self.0 >> Self::NUMBER_BITS
--- a/tests/gateway_entries.rs
+++ b/tests/gateway_entries.rs
@@ -87,6 +87,49 @@
     assert!(matches!(pick(START + 60_000), Pick::Chosen(_)));
 }
 
+/// Guards against daemons that wait for ever for records up to an offset that the log can't
+/// give out: offsets of progress messages never decrease.
+#[test]
+fn progress_invalid_offset() {
+    let mut relay = Relay::default();
+    let progress = |offset| Progress {
+        next: [Some(Offset(offset)), Some(Offset(4)), None, None],
+        answering: u64::MAX,
+    };
+    relay.on_progress(progress(u64::MAX), START);
+    relay.on_progress(progress(7), START);
+    assert_eq!(relay.reader_offset(Topic::Targets), Some(Offset(7)));
+    assert_eq!(relay.reader_offset(Topic::Operator), Some(Offset(4)));
+    assert_eq!(relay.answering_since(), Some(Millis(0)));
+}
+
+/// Guards against relayed records by which a daemon counts others as known that it has not
+/// read.
+#[test]
+fn relayed_invalid_positions() {
+    let batch = |from, next, end, offset| {
+        let record = Record {
+            offset: Offset(offset),
+            key: "t0".into(),
+            value: None,
+        };
+        let (from, next, end) = (Offset(from), Offset(next), Offset(end));
+        Relayed::new(Topic::Targets, from, next, end, vec![record]).is_consistent()
+    };
+    assert!(batch(3, 5, 5, 4));
+    // The records of a full read may be newer than the offset from which to read on.
+    assert!(batch(0, 5, 5, 7));
+    let last = Offset::new(Offset::MAX_ERA, Offset::MAX_NUMBER).expect("an offset");
+    assert!(batch(0, last.0, last.0, last.0));
+    assert!(!batch(5, 3, 5, 4));
+    for invalid in [last.0 + 1, u64::MAX] {
+        assert!(!batch(invalid, invalid, invalid, 4));
+        assert!(!batch(0, invalid, 5, 4));
+        assert!(!batch(0, 5, invalid, 4));
+        assert!(!batch(0, 5, 5, invalid));
+    }
+}
+
 /// Guards against the loss of a target in a full read that shows an entry of it that can't
 /// be read, and against one that is kept although it is not listed.
 #[test]
