Shorten findings in log lines

One record with a long text in place of a state made each daemon log a line of a megabyte, at each full read again: decoders repeat the value that they reject.

--- a/src/finding.rs
+++ b/src/finding.rs
@@ -14,6 +14,21 @@
     pub found: String,
 }
 
+/// Longest text of a finding in a log line, in characters.
+const MAX_SUMMARY_CHARS: usize = 400;
+
+impl Finding {
+    /// Returns the text, shortened for a log line: what was found may be a value of a
+    /// megabyte.
+    pub fn summary(&self) -> String {
+        let text = self.to_string();
+        match text.char_indices().nth(MAX_SUMMARY_CHARS) {
+            Some((end, _)) => format!("{}...", &text[..end]),
+            None => text,
+        }
+    }
+}
+
 impl fmt::Display for Finding {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self {
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -255,7 +255,7 @@
     if topic == Topic::Table {
         return Err(adapter::ReadError::Malformed(unreadable.finding).into());
     }
-    log::warn!("skipped: {}", unreadable.finding);
+    log::warn!("skipped: {}", unreadable.finding.summary());
     Ok(unreadable.key.map(|key| adapter::Record {
         offset: model::Offset::default().in_era(end.era()),
         key,
@@ -736,7 +736,7 @@
 /// Logs the findings of a record that is skipped.
 fn log_findings(findings: &finding::Findings) {
     for finding in &findings.0 {
-        log::warn!("skipped: {finding}");
+        log::warn!("skipped: {}", finding.summary());
     }
 }
 
--- a/tests/gateway_entries.rs
+++ b/tests/gateway_entries.rs
@@ -182,3 +182,25 @@
         assert!(HostRecord::decode("h0", bytes).is_err());
     }
 }
+
+/// Guards against log lines of a megabyte.
+#[test]
+fn finding_summary_long() {
+    let finding = |found: &str| Finding {
+        place: "here".to_owned(),
+        expected: "less".to_owned(),
+        found: found.to_owned(),
+    };
+    let long = finding(&"\u{e9}".repeat(100_000)).summary();
+    assert!(
+        long.chars().count() < 500,
+        "{} characters",
+        long.chars().count()
+    );
+    assert!(
+        long.starts_with("here: expected less, found \u{e9}"),
+        "{long}"
+    );
+    let short = finding("more");
+    assert_eq!(short.summary(), short.to_string());
+}
