Escape the names of routes in metrics

A quote or a line break in the name of a route made the whole page of metrics unreadable for a scraper, since the library writes values of labels as they are.

Before: metrics_odd_route_name found route="quote"line and a new line in its place. After: it passes with the value escaped as the OpenMetrics text format requires.

--- a/src/gateway/counters.rs
+++ b/src/gateway/counters.rs
@@ -46,6 +46,13 @@
     route: String,
 }
 
+/// Escapes a value of a label as the OpenMetrics text format requires; the library writes
+/// values as they are, and a quote or a line break makes the whole page unreadable.
+fn escape(value: &str) -> String {
+    let value = value.replace('\\', "\\\\").replace('"', "\\\"");
+    value.replace('\n', "\\n")
+}
+
 /// Labels of calls to the log.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct CallLabels {
@@ -363,13 +370,13 @@
     fn add_route(&self, name: &Arc<str>) -> RouteMetrics {
         let counter = |outcome: Outcome| {
             let label = RouteOutcomeLabels {
-                route: name.to_string(),
+                route: escape(name),
                 outcome: outcome.label(),
             };
             self.route_requests.get_or_create(&label).clone()
         };
         let label = RouteLabel {
-            route: name.to_string(),
+            route: escape(name),
         };
         RouteMetrics {
             outcomes: Outcome::ALL.map(counter),
@@ -380,12 +387,12 @@
     fn remove_route(&self, name: &Arc<str>) {
         for outcome in Outcome::ALL {
             self.route_requests.remove(&RouteOutcomeLabels {
-                route: name.to_string(),
+                route: escape(name),
                 outcome: outcome.label(),
             });
         }
         self.route_seconds.remove(&RouteLabel {
-            route: name.to_string(),
+            route: escape(name),
         });
     }
 
