--- a/tests/gateway_coordinator/load.rs
+++ b/tests/gateway_coordinator/load.rs
@@ -174,3 +174,35 @@
     load(&mut rig, 30_000, &scaled(work, TOTAL_WORK_MS_PER_S), 0.3);
     assert_eq!(rig.tables.len(), tables);
 }
+
+/// Guards against keys without an owner, or planning that fails, because a target states as
+/// many slots as its type holds, and against keys that stay with it although it answers no
+/// order. Its weight gives it nearly all keys, as long as it takes them.
+#[test]
+fn poll_extreme_weight() {
+    use coordinator::MemberState::Ready;
+    let odd = f64::from(u32::MAX) / 0.3;
+    let members = [("a", 1.0), ("b", 2.0), ("odd", odd), ("zero", 0.0)];
+    let members = members.map(|(name, weight)| member(name, weight, Ready));
+    let mut rig = Rig::new(members.to_vec());
+    let all = |rig: &Rig| {
+        let names = ["a", "b", "odd", "zero"];
+        names.map(|name| rig.keys_of(name)).iter().sum::<u32>()
+    };
+    let work = scaled(vec![1.0; 65_536], TOTAL_WORK_MS_PER_S);
+    load(&mut rig, 3_000, &work, 0.0);
+    assert_eq!(all(&rig), 65_536);
+    assert!(rig.keys_of("odd") > 65_000, "{}", rig.keys_of("odd"));
+    let silent = |action: &coordinator::Action| match action {
+        coordinator::Action::Grant { owner, .. } | coordinator::Action::Release { owner, .. }
+            if owner.target.as_str() == "odd" =>
+        {
+            Some(coordinator::OrderOutcome::Unanswered)
+        }
+        action => done(action),
+    };
+    rig.run(20_000, silent);
+    assert_eq!(all(&rig), 65_536);
+    assert_eq!(rig.keys_of("odd"), 0);
+    assert!(rig.keys_of("b") > rig.keys_of("a"));
+}
--- a/tests/gateway_entries.rs
+++ b/tests/gateway_entries.rs
@@ -44,6 +44,49 @@
     assert_eq!(START + 5, Millis(100_005));
 }
 
+/// Guards against a panic, or the loss of other targets, because of an entry whose numbers
+/// are the highest or lowest of their types.
+#[test]
+fn apply_extreme_numbers() {
+    let extremes = [
+        ("t1", u64::MAX, u64::MAX, u32::MAX, u64::MAX),
+        ("t2", u64::MAX, 0, 0, u64::MAX - 1),
+        ("t3", 0, u64::MAX, u32::MAX, 1_000_000_000_000_000_000),
+        ("t4", 0, 0, 0, 0),
+    ];
+    let mut registry = Registry::new();
+    registry.apply(START, entry("t0", 1));
+    let entries = extremes.into_iter().zip(2..);
+    let entries = entries.map(|((name, birth, sequence, slots, warmup_ms), port)| Entry {
+        birth,
+        sequence,
+        slots,
+        warmup_ms,
+        ..entry(name, port)
+    });
+    let entries: Vec<_> = entries.collect();
+    for entry in entries.clone() {
+        registry.apply(START, entry);
+    }
+    assert_eq!(listed(&registry), ["t0", "t1", "t2", "t3", "t4"]);
+    for (name, cold) in [("t1", true), ("t2", true), ("t3", true), ("t4", false)] {
+        let target = registry.get(&name.into()).expect("a target");
+        assert_eq!(target.is_cold(START + 1_000_000), cold, "{name}");
+    }
+    registry.set_outage(START, true);
+    registry.replace(START + 10, entries);
+    registry.set_outage(START + 20, false);
+    registry.on_log_restored(START + 30);
+    for name in ["t1", "t2", "t3", "t4"] {
+        registry.remove(START + 5_000, name);
+    }
+    registry.sweep(START + 5_001);
+    registry.sweep(Millis(u64::MAX));
+    assert_eq!(registry.removed().count(), 0);
+    registry.apply(Millis(u64::MAX), entry("t9", 9));
+    assert!(listed(&registry).contains(&"t9"));
+}
+
 /// Guards against a load report whose sum has no place in its type: a wrapped one makes a
 /// full target look free.
 #[test]
@@ -87,6 +130,16 @@
     assert!(matches!(pick(START + 60_000), Pick::Chosen(_)));
 }
 
+/// Guards against a share of the cold limit that wraps or panics because of the numbers of
+/// an odd configuration.
+#[test]
+fn cold_share_extreme() {
+    assert_eq!(cold_share(1e308, 1e308, 5.0, 1), u32::MAX);
+    assert_eq!(cold_share(-1e308, 1.5, 5.0, 0), 0);
+    assert_eq!(cold_share(f64::NAN, 1.5, 5.0, u32::MAX), 0);
+    assert_eq!(cold_share(f64::INFINITY, 1.5, 5.0, u32::MAX), u32::MAX);
+}
+
 /// Guards against daemons that wait for ever for records up to an offset that the log can't
 /// give out: offsets of progress messages never decrease.
 #[test]
