--- a/src/gateway/adapter.rs
+++ b/src/gateway/adapter.rs
@@ -4,7 +4,7 @@
 //! and to targets, and parses their answers. Connections, timeouts, retries, decisions
 //! and state belong to the gateway.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -76,11 +76,22 @@
     pub end: model::Offset,
 }
 
+/// Record of a page that can't be read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Unreadable {
+    /// Key of the record, unless that can't be read either.
+    pub key: Option<Arc<str>>,
+    /// What can't be read.
+    pub finding: finding::Finding,
+}
+
 /// Answer to a read of the newest record of each key.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Page {
     /// Newest records, by key.
     pub records: Vec<Record>,
+    /// Records that can't be read; the others of the page hold.
+    pub unreadable: Vec<Unreadable>,
     /// Key after which the next page begins, if there are more.
     pub after: Option<Arc<str>>,
     /// Offset that followed the last record of the topic when the page was made.
@@ -129,6 +140,14 @@
     Unknown,
 }
 
+/// Returns whether an address names one host and a port, so that something can be sent
+/// there. A connection to an unspecified address would reach this host.
+pub fn is_destination(address: SocketAddr) -> bool {
+    let ip = address.ip().to_canonical();
+    let is_broadcast = matches!(ip, IpAddr::V4(ip) if ip.is_broadcast());
+    address.port() != 0 && !ip.is_unspecified() && !ip.is_multicast() && !is_broadcast
+}
+
 /// State of a target in its entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EntryState {
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -216,6 +216,9 @@
         shared.counters.on_call(topic, &page);
         let page = page?;
         records.extend(page.records);
+        for unreadable in page.unreadable {
+            records.extend(keep_unreadable(topic, page.end, unreadable)?);
+        }
         // Later pages may miss records written after the first one, so that reading
         // goes on from the end that the first page named.
         let end = *end.get_or_insert(page.end);
@@ -224,12 +227,42 @@
             return Err(adapter::ReadError::Restored(page.end.era()).into());
         }
         match page.after {
+            Some(key) if after.as_ref() == Some(&key) => {
+                let finding = finding::Finding {
+                    place: "response of the log to a read of newest records".to_owned(),
+                    expected: format!("a page that ends after key {key:?}"),
+                    found: "one that ends there as well".to_owned(),
+                };
+                return Err(adapter::ReadError::Malformed(finding).into());
+            }
             Some(key) => after = Some(key),
             None => return Ok((records, end)),
         }
     }
 }
 
+/// Returns a record that can't be read as one with an empty value, which no reader of a topic
+/// accepts, so that its key does not count as removed. Its offset is below that of all records
+/// that are read later. A record without a readable key is left out.
+///
+/// # Errors
+/// Fails for the key table: an older table must not pass for the newest one.
+fn keep_unreadable(
+    topic: Topic,
+    end: model::Offset,
+    unreadable: adapter::Unreadable,
+) -> Result<Option<adapter::Record>, CallError> {
+    if topic == Topic::Table {
+        return Err(adapter::ReadError::Malformed(unreadable.finding).into());
+    }
+    log::warn!("skipped: {}", unreadable.finding.summary());
+    Ok(unreadable.key.map(|key| adapter::Record {
+        offset: model::Offset::default().in_era(end.era()),
+        key,
+        value: Some(bytes::Bytes::new()),
+    }))
+}
+
 /// Origin of records that this daemon applies.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Source {
@@ -703,7 +736,7 @@
 /// Logs the findings of a record that is skipped.
 fn log_findings(findings: &finding::Findings) {
     for finding in &findings.0 {
-        log::warn!("skipped: {finding}");
+        log::warn!("skipped: {}", finding.summary());
     }
 }
 
