Count an answer to an order only if it can't be one to something else

Callers would see two targets that serve the same keys: their writes go to one of them and are missing at the other.

Orders to targets went on the kept connections of callers' requests. A faulty target may send a further answer late, where the next one is expected. If that was a release, its keys were granted to the next owner although the former one had not read it; if it was a grant, the grant was not remembered as one that may still be applied after a release.

Orders now have a client of their own, so that no request's answer can come on their connections. A release, whose answer ends a wait, goes on a new connection that is closed after it: nothing was sent on it before, so that nothing can be repeated. That is one connection for each move; renewals, one a second for each run, stay on kept connections. An answer that names a request, that came before the order was written, or whose lengths disagree does not count, nor does "fenced" on a connection that has carried another order. Such an order has the outcome `unclear`: the state machine treats it as one without an answer, except that it cancels the proof from refused connections, since something listens. The idle connections for orders to that target are closed.

What remains: a target that answers a renewal twice, and whose second answer is taken for that to the next renewal on the same connection while this one is applied late, after a release within the lease. A new connection for each renewal would exclude it, at the price of one a second for each run.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -17,6 +17,7 @@
 pub mod history;
 pub mod keys;
 pub mod notices;
+pub mod order;
 pub mod peers;
 pub mod query;
 pub mod quota;
@@ -142,6 +143,7 @@
         tokio::time::sleep(SWEEP_INTERVAL).await;
         let now = clock::now();
         shared.client.close_expired(now);
+        shared.orders.close_expired(now);
         shared.choice.borrow_mut().expire(now);
         let instances = executor::instances(&shared);
         shared
--- a/src/gateway/client.rs
+++ b/src/gateway/client.rs
@@ -94,6 +94,17 @@
     };
 }
 
+/// Use of connections by a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reuse {
+    /// The call uses an idle connection if there is one, and leaves its connection to
+    /// later calls.
+    Pooled,
+    /// The call uses a connection that carries nothing else, so that no answer to another
+    /// request can come on it.
+    Never,
+}
+
 /// Place of a response on its connection, from which callers conclude whether it
 /// certainly answers the request. Each response of [`Client::send`] has one among its
 /// extensions.
@@ -232,22 +243,27 @@
         is_reusable: impl Fn(&http::HeaderMap) -> bool,
     ) -> Result<http::Response<Body>, Failure> {
         let timeouts = ResponseTimeouts::UNLIMITED;
-        let exchange = self.send_pooled(peer, request, connect, timeouts, may_send);
+        let reuse = Reuse::Pooled;
+        let exchange = self.send_on(peer, request, connect, reuse, timeouts, may_send);
         Ok(self.release(peer, exchange.await?, is_reusable))
     }
 
-    /// Sends a request on an idle connection, or on a new one if none is usable.
-    async fn send_pooled(
+    /// Sends a request on an idle connection if `reuse` allows it, or on a new one if none
+    /// is usable.
+    async fn send_on(
         &self,
         peer: Peer,
         request: http::Request<Bytes>,
         connect: Duration,
+        reuse: Reuse,
         timeouts: ResponseTimeouts,
         may_send: impl Fn() -> bool,
     ) -> Result<Exchange, Failure> {
         let id = self.digest(&request);
         let mut request = request.map(Full::new);
-        while let Some(mut connection) = self.take_idle(peer, id) {
+        while let Reuse::Pooled = reuse
+            && let Some(mut connection) = self.take_idle(peer, id)
+        {
             connection.carried.extend(id);
             match Self::exchange(connection, request, timeouts).await {
                 Ok(exchange) => return Ok(exchange),
@@ -277,7 +293,8 @@
         request: http::Request<Bytes>,
         connect: Duration,
     ) -> Result<http::Response<Bytes>, Failure> {
-        self.call_if(peer, request, connect, || true).await
+        let reuse = Reuse::Pooled;
+        self.call_if(peer, request, connect, reuse, || true).await
     }
 
     /// Sends a request and returns the response with its complete body. If a connection has
@@ -290,13 +307,14 @@
         peer: Peer,
         request: http::Request<Bytes>,
         connect: Duration,
+        reuse: Reuse,
         may_send: impl Fn() -> bool,
     ) -> Result<http::Response<Bytes>, Failure> {
         let timeouts = ResponseTimeouts::UNLIMITED;
         let exchange = self
-            .send_pooled(peer, request, connect, timeouts, may_send)
+            .send_on(peer, request, connect, reuse, timeouts, may_send)
             .await?;
-        self.complete(peer, exchange, timeouts).await
+        self.complete(peer, exchange, reuse, timeouts).await
     }
 
     /// Sends a request and returns the response with its complete body, within the
@@ -312,9 +330,9 @@
         timeouts: ResponseTimeouts,
     ) -> Result<http::Response<Bytes>, Failure> {
         let exchange = self
-            .send_pooled(peer, request, connect, timeouts, || true)
+            .send_on(peer, request, connect, Reuse::Pooled, timeouts, || true)
             .await?;
-        self.complete(peer, exchange, timeouts).await
+        self.complete(peer, exchange, Reuse::Pooled, timeouts).await
     }
 
     /// Reads the rest of a response.
@@ -322,9 +340,10 @@
         &self,
         peer: Peer,
         exchange: Exchange,
+        reuse: Reuse,
         timeouts: ResponseTimeouts,
     ) -> Result<http::Response<Bytes>, Failure> {
-        let response = self.release(peer, exchange, |_| true);
+        let response = self.release(peer, exchange, |_| reuse == Reuse::Pooled);
         let (parts, body) = response.into_parts();
         let bytes = match body {
             Body::Whole(bytes) => bytes,
@@ -452,7 +471,10 @@
             return response;
         };
         let is_worn = connection.carried.len() >= MAX_CARRIED;
-        if !is_worn && !connection.sender.is_closed() && is_reusable(response.headers()) {
+        let origin = response.extensions().get();
+        let in_order = matches!(origin, Some(Origin::First | Origin::Later));
+        if in_order && !is_worn && !connection.sender.is_closed() && is_reusable(response.headers())
+        {
             connection.usable_until = clock::now() + idle_time(response.headers());
             self.idle
                 .borrow_mut()
--- a/src/gateway/coordinator.rs
+++ b/src/gateway/coordinator.rs
@@ -132,6 +132,9 @@
     /// The connection was refused: nothing listens at the target's address. A
     /// target that shuts down gracefully may still work and hold keys.
     ConnectionRefused,
+    /// An answer came that may not be one to the order, so that the order may not have
+    /// arrived yet.
+    Unclear,
     /// The order was not answered in time, or was not sent.
     Unanswered,
 }
@@ -144,6 +147,7 @@
             Self::Fenced => f.write_str("Fenced"),
             Self::Rejected => f.write_str("Rejected"),
             Self::ConnectionRefused => f.write_str("Refused"),
+            Self::Unclear => f.write_str("Unclear"),
             Self::Unanswered => f.write_str("Silent"),
         }
     }
--- a/src/gateway/coordinator/orders.rs
+++ b/src/gateway/coordinator/orders.rs
@@ -52,9 +52,9 @@
         let order = self.orders.get_mut(&entry.id);
         let mut order = order.filter(|order| order.call == Some(call));
         let retry = match reply {
-            super::OrderOutcome::Unanswered | super::OrderOutcome::ConnectionRefused => {
-                super::RETRY_MS
-            }
+            super::OrderOutcome::Unanswered
+            | super::OrderOutcome::Unclear
+            | super::OrderOutcome::ConnectionRefused => super::RETRY_MS,
             _ => super::RENEWAL_INTERVAL_MS,
         };
         if let Some(order) = &mut order {
@@ -68,7 +68,7 @@
         // If the run has changed since the grant, its answer may come after that of the
         // release: then the target may have applied the grant after the release.
         let uncertain = match &reply {
-            super::OrderOutcome::Unanswered => true,
+            super::OrderOutcome::Unanswered | super::OrderOutcome::Unclear => true,
             super::OrderOutcome::Done(_) => order.is_none(),
             _ => false,
         };
@@ -107,7 +107,7 @@
                 self.record_failure(now, sent, &entry.owner)
                     .on_refused(now, sent);
             }
-            (super::OrderOutcome::Rejected, _) => {
+            (super::OrderOutcome::Rejected | super::OrderOutcome::Unclear, _) => {
                 // The target listens, so an earlier refused connection proves nothing.
                 self.record_failure(now, sent, &entry.owner).refusal =
                     super::failures::Refusal::None;
@@ -132,7 +132,9 @@
         };
         let in_flight = match reply {
             super::OrderOutcome::ConnectionRefused => return,
-            super::OrderOutcome::Unanswered => super::IN_FLIGHT_MARGIN_MS,
+            super::OrderOutcome::Unanswered | super::OrderOutcome::Unclear => {
+                super::IN_FLIGHT_MARGIN_MS
+            }
             super::OrderOutcome::Done(_)
             | super::OrderOutcome::Fenced
             | super::OrderOutcome::Rejected => 0,
--- a/src/gateway/counters.rs
+++ b/src/gateway/counters.rs
@@ -146,6 +146,7 @@
         coordinator::OrderOutcome::Fenced => "fenced",
         coordinator::OrderOutcome::Rejected => "rejected",
         coordinator::OrderOutcome::ConnectionRefused => "refused",
+        coordinator::OrderOutcome::Unclear => "unclear",
         coordinator::OrderOutcome::Unanswered => "silent",
     }
 }
--- a/src/gateway/executor.rs
+++ b/src/gateway/executor.rs
@@ -15,6 +15,7 @@
 use crate::gateway::counters;
 use crate::gateway::feed::{self, TableRead};
 use crate::gateway::keys;
+use crate::gateway::order;
 use crate::gateway::peers;
 use crate::gateway::shared::Shared;
 use crate::model;
@@ -526,15 +527,18 @@
         birth: owner.birth,
     };
     let may_write = || machine.borrow_mut().may_write(clock::now(), call);
-    let answer = shared
-        .client
-        .call_if(peer, request, CONNECT_TIMEOUT, may_write);
-    let timeout = match kind {
-        counters::OrderKind::Grant => GRANT_TIMEOUT_MS,
-        counters::OrderKind::Release => RELEASE_TIMEOUT_MS,
+    let (reuse, timeout) = match kind {
+        counters::OrderKind::Grant => (client::Reuse::Pooled, GRANT_TIMEOUT_MS),
+        // The answer to a release lets the keys go to another target, so that no earlier
+        // answer may be taken for it.
+        counters::OrderKind::Release => (client::Reuse::Never, RELEASE_TIMEOUT_MS),
     };
+    let answer = shared
+        .orders
+        .call_if(peer, request, CONNECT_TIMEOUT, reuse, may_write);
     let answer = tokio::time::timeout(Duration::from_millis(timeout), answer).await;
-    if let Ok(Ok(answer)) = &answer {
+    let answer = answer.unwrap_or(Err(client::Failure::Broken));
+    if let Ok(answer) = &answer {
         let notice = shared
             .adapter
             .parse_notice(answer.status(), answer.headers());
@@ -544,18 +548,22 @@
         };
         shared.on_notice(&instance, notice);
     }
-    let reply = match answer {
-        Ok(Ok(answer)) => match shared.adapter.parse_order(&answer) {
-            adapter::OrderResponse::Accepted(handover) => coordinator::OrderOutcome::Done(handover),
-            adapter::OrderResponse::Fenced => coordinator::OrderOutcome::Fenced,
-            adapter::OrderResponse::Rejected(status) => {
-                log::warn!("target {} rejected an order with {status}", owner.target);
-                coordinator::OrderOutcome::Rejected
-            }
-        },
-        Ok(Err(client::Failure::Refused)) => coordinator::OrderOutcome::ConnectionRefused,
-        _ => coordinator::OrderOutcome::Unanswered,
-    };
+    let reply = order::outcome(
+        &*shared.adapter,
+        answer.as_ref().map_err(|failure| *failure),
+    );
+    match (&reply, &answer) {
+        (coordinator::OrderOutcome::Rejected, Ok(answer)) => {
+            let status = answer.status().as_u16();
+            log::warn!("target {} rejected an order with {status}", owner.target);
+        }
+        (coordinator::OrderOutcome::Unclear, _) => {
+            log::warn!("target {} may have answered something else", owner.target);
+            // Further answers may come late on the connections that were used before.
+            shared.orders.close_idle(peer);
+        }
+        _ => {}
+    }
     log::debug!("order {call} to target {}: {reply:?}", owner.target);
     shared.counters.on_order(kind, &reply);
     machine.borrow_mut().on_ordered(clock::now(), call, reply);
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -41,6 +41,9 @@
     pub adapter: Rc<dyn adapter::Adapter>,
     /// HTTP client with the connections to targets and to the log.
     pub client: client::Client,
+    /// HTTP client with the connections that carry orders to targets, and nothing else: an
+    /// answer to a request that comes late can't be taken for one to an order.
+    pub orders: client::Client,
     /// Configuration in effect, if one was read.
     pub catalog: RefCell<Option<Rc<catalog::Catalog>>>,
     /// Failure domains that operators drain, each with the time at which this daemon
@@ -132,6 +135,7 @@
             incarnation: model::Incarnation(rand::random()),
             client: client::Client::with_counter(counters.connections.clone())
                 .with_identifier(adapter.names().request.clone()),
+            orders: client::Client::with_counter(counters.connections.clone()),
             adapter,
             catalog: RefCell::default(),
             drained_domains: RefCell::default(),
--- a/tests/gateway_client.rs
+++ b/tests/gateway_client.rs
@@ -14,7 +14,7 @@
 
 use bytes::Bytes;
 use pistachiomoor::clock;
-use pistachiomoor::gateway::client::{Body, Client, Failure, Peer};
+use pistachiomoor::gateway::client::{Body, Client, Failure, Peer, Reuse};
 use tokio::sync::oneshot;
 
 use self::raw::{Link, answer, serve};
@@ -197,6 +197,26 @@
     });
 }
 
+/// Guards against a call that must not share its connection, and is sent on one that has
+/// carried other requests, or leaves its own to them.
+#[test]
+fn call_connection_own() {
+    let address = serve_numbered("");
+    run(async {
+        let client = Client::new();
+        let own = async || {
+            let sent = request("/own", b"");
+            let answer =
+                client.call_if(peer(address), sent, CONNECT_TIMEOUT, Reuse::Never, || true);
+            answer.await.expect("an answer").into_body()
+        };
+        assert_eq!(ask(&client, address, "/r").await.as_deref(), Ok("0"));
+        assert_eq!(own().await, "1");
+        assert_eq!(own().await, "2");
+        assert_eq!(ask(&client, address, "/r").await.as_deref(), Ok("0"));
+    });
+}
+
 /// Guards against a request that fails because the peer has closed an idle
 /// connection.
 #[test]
--- a/tests/gateway_coordinator.rs
+++ b/tests/gateway_coordinator.rs
@@ -329,12 +329,23 @@
 /// release (seen in a platform run of the showroom mix with seed 590119298031).
 #[test]
 fn poll_move_after_unanswered_grant() {
+    check_move_after_grant(coordinator::OrderOutcome::Unanswered);
+}
+
+/// Guards against two owners of a key when the answer to something else is taken for the
+/// answer to a grant, which is applied after the release.
+#[test]
+fn poll_move_after_unclear_grant() {
+    check_move_after_grant(coordinator::OrderOutcome::Unclear);
+}
+
+/// Checks that keys whose grants ended with `outcome` move only when their leases would
+/// have ended.
+fn check_move_after_grant(outcome: coordinator::OrderOutcome) {
     let mut rig = Rig::new(vec![ready("a"), ready("b")]);
     rig.run(6_000, done);
     let unanswered = rig.run(1_200, |order| match order {
-        coordinator::Action::Grant { .. } if is_for(order, "a") => {
-            Some(coordinator::OrderOutcome::Unanswered)
-        }
+        coordinator::Action::Grant { .. } if is_for(order, "a") => Some(outcome.clone()),
         _ => Some(coordinator::OrderOutcome::Done(None)),
     });
     let last = unanswered.iter().filter(|(_, order)| is_for(order, "a"));
