Remember a grant that was answered with a failure as one that may still be applied

Callers would see two targets that serve the same keys for the rest of a lease.

A grant answered with any status but 200 and 409 counted as not applied. Statuses such as 502 and 504 guarantee nothing, and a 421 on a kept connection may belong to an earlier grant: the target may apply the grant after the release that follows.

Before: poll_move_after_rejected_grant fails with "granted at 7202, the lease may last until 10064". After: it passes, and so do the other 55 tests of gateway_coordinator, the random faults among them.

A move within a lease after such an answer now waits until that lease would have ended, as after a grant without an answer. Other moves do not wait longer.

--- a/src/gateway/coordinator/orders.rs
+++ b/src/gateway/coordinator/orders.rs
@@ -66,9 +66,12 @@
             return;
         };
         // If the run has changed since the grant, its answer may come after that of the
-        // release: then the target may have applied the grant after the release.
+        // release: then the target may have applied the grant after the release. Statuses
+        // such as 502 and 504 do not say that the target did not and will not apply it.
         let uncertain = match &reply {
-            super::OrderOutcome::Unanswered | super::OrderOutcome::Unclear => true,
+            super::OrderOutcome::Unanswered
+            | super::OrderOutcome::Unclear
+            | super::OrderOutcome::Rejected => true,
             super::OrderOutcome::Done(_) => order.is_none(),
             _ => false,
         };
--- a/tests/gateway_coordinator.rs
+++ b/tests/gateway_coordinator.rs
@@ -339,6 +339,13 @@
     check_move_after_grant(coordinator::OrderOutcome::Unclear);
 }
 
+/// Guards against two owners of a key when a target answers a grant with a failure, such as
+/// 502 or 504, and applies it after the release all the same.
+#[test]
+fn poll_move_after_rejected_grant() {
+    check_move_after_grant(coordinator::OrderOutcome::Rejected);
+}
+
 /// Checks that keys whose grants ended with `outcome` move only when their leases would
 /// have ended.
 fn check_move_after_grant(outcome: coordinator::OrderOutcome) {
