Find the end of a response's head whatever its line ends

Callers would get a response that is longer than its length as a whole one. While a large response is passed on, its body would be kept in memory as well.

The HTTP library takes a line feed alone as the end of a line and skips empty lines before the status line. `wire::Position` looked for CR LF CR LF only, so that for other heads it never saw the end: all bytes of the body counted as a part of the head, the check of the length never failed, and lines of the body counted as headers.

Before: answer_longer_other_lines finds First for "HTTP/1.1 200 OK\ncontent-length: 5\n\nwholex", and answer_framings_other_lines finds Misframed for a body with the text of both headers. After: both pass, as do the other tests of gateway_client. The growth of memory was found by reading and has no test of its own.

--- a/src/gateway/client/wire.rs
+++ b/src/gateway/client/wire.rs
@@ -45,8 +45,6 @@
 struct Position {
     /// Head of the response as far as it was read.
     head: Vec<u8>,
-    /// Number of bytes of [`HEAD_END`] at its end.
-    matched: usize,
     /// Bytes after the head, once it is complete.
     body: Option<u64>,
 }
@@ -55,20 +53,24 @@
     /// Begins the next response.
     fn begin(&mut self) {
         self.head.clear();
-        self.matched = 0;
         self.body = None;
     }
 
     /// Reads bytes that follow. An interim response is skipped.
+    ///
+    /// The HTTP library takes a line feed alone for the end of a line, and skips empty lines
+    /// before the status line.
     fn advance(&mut self, bytes: &[u8]) {
         let mut rest = bytes.iter();
         while self.body.is_none() {
             let Some(byte) = rest.next() else {
                 return;
             };
+            if self.head.is_empty() && matches!(byte, b'\r' | b'\n') {
+                continue;
+            }
             self.head.push(*byte);
-            self.matched = advance(self.matched, *byte);
-            if self.matched == HEAD_END.len() {
+            if self.head.ends_with(b"\n\n") || self.head.ends_with(b"\n\r\n") {
                 match self.head.get(STATUS_INDEX) {
                     Some(&INTERIM_DIGIT) => self.begin(),
                     _ => self.body = Some(0),
--- a/tests/gateway_client/origin.rs
+++ b/tests/gateway_client/origin.rs
@@ -164,6 +164,55 @@
     }
 }
 
+/// Guards against a body that is longer than its length and is taken for a whole one
+/// because its head has other line ends, or empty lines before it. The whole body would
+/// then also be kept in memory as a part of the head.
+#[test]
+fn answer_longer_other_lines() {
+    let interim = "HTTP/1.1 103 -\ncontent-length: 1\n\n";
+    let feeds = answer("whole", "").replace("\r\n", "\n");
+    let mixed = answer("whole", "").replacen("\r\n\r\n", "\n\r\n", 1);
+    for text in [
+        feeds.clone(),
+        interim.to_owned() + &feeds,
+        mixed,
+        "\r\n".to_owned() + &answer("whole", ""),
+        "\r\n\r\n\n".to_owned() + &answer("whole", ""),
+    ] {
+        for (text, expected) in [
+            (text.clone(), Origin::First),
+            (text + "x", Origin::Misframed),
+        ] {
+            let address = serve_once(text.clone(), false);
+            run(async {
+                let (origin, body) = identify(&Client::new(), address, "a").await;
+                assert_eq!((origin, &*body), (Some(expected), "whole"), "{text:?}");
+            });
+        }
+    }
+}
+
+/// Guards against a response with both a length and chunks that is taken for a whole one
+/// because its head has other line ends, and against a body whose lines are taken for
+/// headers.
+#[test]
+fn answer_framings_other_lines() {
+    let head = "HTTP/1.1 200 -\ncontent-length: 5\ntransfer-encoding: chunked\n\n";
+    let both = head.to_owned() + "5\r\nwhole\r\n0\r\n\r\n";
+    let lines = "x\ncontent-length: 1\ntransfer-encoding: chunked\n";
+    let body = answer(lines, "").replace("\r\n", "\n");
+    for (text, expected) in [
+        (both, (Origin::Misframed, "whole")),
+        (body, (Origin::First, lines)),
+    ] {
+        let address = serve_once(text.clone(), false);
+        run(async {
+            let (origin, body) = identify(&Client::new(), address, "a").await;
+            assert_eq!((origin, &*body), (Some(expected.0), expected.1), "{text:?}");
+        });
+    }
+}
+
 /// Guards against a large body that is longer than its length and is taken for a whole
 /// one.
 #[test]
