Limit the size of an answer that a call reads whole

Callers would see a daemon that ends because its host has no memory left.

Calls to the log, to other daemons and to targets' orders read their answer whole, however long it is. An order waits for 700 ms or 9 s and a call to the log for 15 s longer than for its head; a peer that sends without an end could fill the 256 MB of a host in that time.

Before: call_answer_endless waits for the rest of 32 MiB and fails with Elapsed, and call_head_endless reads 64 MiB behind an ended head. After: both pass; heads without an end are given up by the HTTP library's own limit.

--- a/src/gateway/client.rs
+++ b/src/gateway/client.rs
@@ -46,6 +46,10 @@
 /// Largest response body that is read whole before it is forwarded, in bytes.
 const MAX_WHOLE_BYTES: usize = 1 << 20;
 
+/// Largest response body that a call reads, in bytes. Peers of calls send at most a few
+/// megabytes; a body without an end must not fill the memory of a small host.
+const MAX_CALL_BYTES: usize = 16 << 20;
+
 /// Peer of a connection: an address and the incarnation of the process behind it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Peer {
@@ -351,6 +355,9 @@
                 let mut buffer = bytes::BytesMut::from(&first[..]);
                 while let Some(part) = with_timeout(timeouts.part, rest.next()).await? {
                     buffer.extend_from_slice(&part?);
+                    if buffer.len() > MAX_CALL_BYTES {
+                        return Err(Failure::Broken);
+                    }
                 }
                 buffer.freeze()
             }
--- a/tests/gateway_client.rs
+++ b/tests/gateway_client.rs
@@ -7,7 +7,7 @@
 #[path = "support/raw.rs"]
 mod raw;
 
-use std::io::{ErrorKind, Read};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::sync::mpsc;
 use std::time::{Duration, Instant};
@@ -492,6 +492,63 @@
     });
 }
 
+/// Guards against a body without an end that fills the memory of the daemon, because a call
+/// reads it whole.
+#[test]
+fn call_answer_endless() {
+    let (ended, end) = mpsc::channel::<()>();
+    let address = serve(move |listener| {
+        let mut link = Link::accept(&listener);
+        link.read().expect("a request");
+        link.write("HTTP/1.1 200 OK\r\ncontent-length: 1000000000000\r\n\r\n");
+        let part = "x".repeat(MAX_WHOLE_BYTES);
+        for _ in 0..32 {
+            link.write(&part);
+        }
+        // The rest comes after a time, which does not end the call. Fails once the test
+        // has ended.
+        let _ = end.recv();
+    });
+    run(async {
+        let client = Client::new();
+        let call = ask(&client, address, "/r");
+        let answer = tokio::time::timeout(Duration::from_secs(5), call).await;
+        assert_eq!(answer, Ok(Err(Failure::Broken)));
+    });
+    drop(ended);
+}
+
+/// Guards against a response head without an end that a call reads for ever.
+#[test]
+fn call_head_endless() {
+    for line in ["x: y\r\n".repeat(64), "y".repeat(512), "\r\n".repeat(256)] {
+        let (stopped, stop) = mpsc::channel();
+        let name = format!("{:?}", &line[..6]);
+        let address = serve(move |listener| {
+            let mut link = Link::accept(&listener);
+            link.read().expect("a request");
+            link.write("HTTP/1.1 200 OK\r\nx: ");
+            let mut sent = 0;
+            while sent < 64 * MAX_WHOLE_BYTES && link.0.write_all(line.as_bytes()).is_ok() {
+                sent += line.len();
+            }
+            stopped.send(sent).expect("a waiting test");
+        });
+        run(async {
+            let client = Client::new();
+            let call = ask(&client, address, "/r");
+            let answer = tokio::time::timeout(Duration::from_secs(5), call).await;
+            assert_eq!(answer, Ok(Err(Failure::Broken)), "{name}");
+            run_aborted_tasks().await;
+        });
+        let sent = stop.recv().expect("a server's report");
+        assert!(
+            sent < 64 * MAX_WHOLE_BYTES,
+            "{name}: {sent} bytes were read"
+        );
+    }
+}
+
 /// Guards against a truncated large response that is returned as complete.
 #[test]
 fn answer_large_truncated() {
