Send each call for the key table on a connection of its own

Callers would see two targets that serve the same keys, as keys are granted by a table that is not in the log.

The response to an append names only an offset. An earlier append to another topic may have named the same one; if the log sends that response once more on a kept connection, it counted as proof that the table was written. A repeated response to a read counts in the same way as proof that no newer table exists, which extends a coordinator's authority (found by reading, not tested).

Before: log_append_response_repeated finds a target with a lease while the table's topic is empty. After: it passes, as do the other tests of `keys` and `log` of `--test path`.

These calls are few: about one a second at the coordinator, one in 10 s at each other reader, and one for each change of the table. Other topics keep their connections. A response to a call that came before the call was written, or whose lengths disagree, no longer counts as an answer, whatever the topic (no test of its own).

--- a/src/gateway/client.rs
+++ b/src/gateway/client.rs
@@ -325,18 +325,24 @@
     /// timeouts of a response.
     ///
     /// # Errors
-    /// The failure tells whether the request may have reached the peer.
+    /// The failure tells whether the request may have reached the peer. A response that
+    /// came before the request, or whose lengths disagree, fails as [`Failure::Broken`].
     pub async fn fetch(
         &self,
         peer: Peer,
         request: http::Request<Bytes>,
         connect: Duration,
+        reuse: Reuse,
         timeouts: ResponseTimeouts,
     ) -> Result<http::Response<Bytes>, Failure> {
         let exchange = self
-            .send_on(peer, request, connect, Reuse::Pooled, timeouts, || true)
+            .send_on(peer, request, connect, reuse, timeouts, || true)
             .await?;
-        self.complete(peer, exchange, Reuse::Pooled, timeouts).await
+        let response = self.complete(peer, exchange, reuse, timeouts).await?;
+        match response.extensions().get() {
+            Some(Origin::First | Origin::Later) => Ok(response),
+            _ => Err(Failure::Broken),
+        }
     }
 
     /// Reads the rest of a response.
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -108,10 +108,16 @@
         head: Duration::from_millis(limit),
         part: Duration::from_millis(ANSWER_TIMEOUT_MS),
     };
+    let reuse = match topic {
+        // These answers decide which daemon is the coordinator and for how long, so that none
+        // to an earlier call may be taken for them. There are few of these calls.
+        Topic::Table => client::Reuse::Never,
+        Topic::Targets | Topic::Operator | Topic::Hosts => client::Reuse::Pooled,
+    };
     let request = with_host(shared, request);
     let answer = shared
         .client
-        .fetch(peer, request, CONNECT_TIMEOUT, timeouts);
+        .fetch(peer, request, CONNECT_TIMEOUT, reuse, timeouts);
     let limit = Duration::from_millis(limit + WHOLE_ANSWER_TIMEOUT_MS);
     let answer = tokio::time::timeout(limit, answer).await;
     match answer {
--- a/src/gateway/relay/exchange.rs
+++ b/src/gateway/relay/exchange.rs
@@ -81,7 +81,13 @@
     let peer = client::Peer { address, birth: 0 };
     let answer = shared
         .client
-        .fetch(peer, request, CONNECT_TIMEOUT, timeouts)
+        .fetch(
+            peer,
+            request,
+            CONNECT_TIMEOUT,
+            client::Reuse::Pooled,
+            timeouts,
+        )
         .await;
     let answer = answer.ok().filter(|answer| answer.status() == 200)?;
     let relayed = decode(answer.body());
