--- a/src/gateway/coordinator/orders.rs
+++ b/src/gateway/coordinator/orders.rs
@@ -52,9 +52,9 @@
         let order = self.orders.get_mut(&entry.id);
         let mut order = order.filter(|order| order.call == Some(call));
         let retry = match reply {
-            super::OrderOutcome::Unanswered | super::OrderOutcome::ConnectionRefused => {
-                super::RETRY_MS
-            }
+            super::OrderOutcome::Unanswered
+            | super::OrderOutcome::Unclear
+            | super::OrderOutcome::ConnectionRefused => super::RETRY_MS,
             _ => super::RENEWAL_INTERVAL_MS,
         };
         if let Some(order) = &mut order {
@@ -66,9 +66,12 @@
             return;
         };
         // If the run has changed since the grant, its answer may come after that of the
-        // release: then the target may have applied the grant after the release.
+        // release: then the target may have applied the grant after the release. Statuses
+        // such as 502 and 504 do not say that the target did not and will not apply it.
         let uncertain = match &reply {
-            super::OrderOutcome::Unanswered => true,
+            super::OrderOutcome::Unanswered
+            | super::OrderOutcome::Unclear
+            | super::OrderOutcome::Rejected => true,
             super::OrderOutcome::Done(_) => order.is_none(),
             _ => false,
         };
@@ -106,7 +109,7 @@
             (super::OrderOutcome::ConnectionRefused, _) => {
                 self.record_failure(now, sent, &entry.owner).refused = true;
             }
-            (super::OrderOutcome::Rejected, _) => {
+            (super::OrderOutcome::Rejected | super::OrderOutcome::Unclear, _) => {
                 // The target listens again.
                 self.record_failure(now, sent, &entry.owner).refused = false;
             }
@@ -130,7 +133,9 @@
         };
         let in_flight = match reply {
             super::OrderOutcome::ConnectionRefused => return,
-            super::OrderOutcome::Unanswered => super::IN_FLIGHT_MARGIN_MS,
+            super::OrderOutcome::Unanswered | super::OrderOutcome::Unclear => {
+                super::IN_FLIGHT_MARGIN_MS
+            }
             super::OrderOutcome::Done(_)
             | super::OrderOutcome::Fenced
             | super::OrderOutcome::Rejected => 0,
