Answer 502 when a target changes the protocol unasked

Callers would get a final 101 as the answer to their request, without a body and with the connection in doubt, although the request may have run.

The gateway forwards no request for a change of the protocol, but a target's response with status 101 counted as a response like any other.

Before: no_response of `--test path truncation` finds "switch: 101". After: it passes. The other cases of the test (a head or a header line without an end, bytes that are no head, and interim responses that go on) had 502 or 504 before as well.

--- a/src/gateway/exchange/attempt.rs
+++ b/src/gateway/exchange/attempt.rs
@@ -218,6 +218,10 @@
         }
         client::Origin::First | client::Origin::Later => {}
     }
+    // Requests ask for no change of the protocol, so that 101 is not an answer to one.
+    if response.status().is_informational() {
+        return fail(guard, "the target changes the protocol");
+    }
     let load = headers.get(&names.load);
     let load = load.and_then(|value| shared.adapter.parse_load(value.to_str().ok()?));
     if refused {
