Show what keys wait for on the coordinator

Nothing told for which leases a coordinator waits before it grants keys, until when, and by how many reports of other daemons. The explain page of the coordinator says so in wait, and log lines give the begin of a term with the waits, its end, and the time from which no run waits for leases by records that a restored log has lost.

--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -108,9 +108,11 @@
     let (first, last) = owner.keys;
     let notice = owner.notice.as_ref();
     let notice = notice.map_or_else(String::new, |notice| format!("{notice}\n"));
+    let wait = owner.wait.as_ref();
+    let wait = wait.map_or_else(String::new, |wait| format!("{wait}\n"));
     format!(
         "keys {first} to {last}: owner {} in {}, fence {}, since record {}; before it: {}\n\
-         key table: record {}, steward {}\n{notice}",
+         key table: record {}, steward {}\n{notice}{wait}",
         or_none(owner.target.as_ref()),
         or_none(owner.domain.as_ref()),
         owner.fence,
--- a/src/gateway/coordinator.rs
+++ b/src/gateway/coordinator.rs
@@ -13,6 +13,7 @@
 mod plan;
 mod revise;
 mod takeover;
+mod waits;
 
 use std::collections::{BTreeMap, BTreeSet, btree_map};
 use std::fmt;
@@ -23,6 +24,8 @@
 use crate::gateway::keys;
 use crate::model;
 
+pub use self::waits::{EarlierLeases, Term, Wait};
+
 /// Time for which the coordinator may act after the start of a read or append that showed
 /// its record as the newest one.
 pub const AUTHORITY_MS: u64 = 2_500;
@@ -251,6 +254,8 @@
     handover: Option<Arc<str>>,
     /// The last grant had an extended lease.
     extended: bool,
+    /// A grant was answered.
+    granted: bool,
     fenced: bool,
 }
 
--- a/src/gateway/coordinator/acknowledgements.rs
+++ b/src/gateway/coordinator/acknowledgements.rs
@@ -121,6 +121,19 @@
         count >= self.other_votes()
     }
 
+    /// Iterates over the reports of daemons that know the record at `since`.
+    fn reports_since(&self, since: model::Offset) -> impl Iterator<Item = &Report> {
+        let reports = self.reports.values();
+        reports.filter(move |report| report.known >= Some(since))
+    }
+
+    /// Returns how many daemons have reported that they know the record at `since`, and how
+    /// many form a majority, each with this one.
+    pub(super) fn reports(&self, since: model::Offset) -> (usize, usize) {
+        let reported = 1 + self.reports_since(since).count();
+        (reported, 1 + self.other_votes())
+    }
+
     /// Returns the latest time at which a majority may have acknowledged an earlier
     /// coordinator's outage, or `None` if that is unknown. Only reports of daemons that know
     /// the record at `since` count: these daemons no longer acknowledge outages of
@@ -129,8 +142,7 @@
         if self.live == 0 {
             return None;
         }
-        let reports = self.reports.values();
-        let reports = reports.filter(|report| report.known >= Some(since));
+        let reports = self.reports_since(since);
         let mut times: Vec<_> = reports.map(|report| report.acknowledged).collect();
         times.push(self.own);
         times.sort_unstable();
--- a/src/gateway/coordinator/orders.rs
+++ b/src/gateway/coordinator/orders.rs
@@ -90,6 +90,7 @@
             }
             (super::OrderOutcome::Done(_), order) => {
                 if let Some(order) = order {
+                    order.granted = true;
                     order.handover = None;
                     order.next_send = sent + super::RENEWAL_INTERVAL_MS;
                 }
@@ -197,7 +198,7 @@
     }
 
     /// Returns until when extended leases of earlier coordinators may last.
-    fn extended_until(&self) -> clock::Millis {
+    pub(super) fn extended_until(&self) -> clock::Millis {
         let worst = self.earlier_leases.unwrap_or_default();
         match self.acknowledgements.latest_acknowledged(self.term_offset) {
             // A coordinator whose outage was acknowledged may act until its authority ends.
@@ -210,7 +211,7 @@
     }
 
     /// Returns until when normal leases of earlier coordinators may last.
-    fn normal_until(&self) -> clock::Millis {
+    pub(super) fn normal_until(&self) -> clock::Millis {
         let worst = self.earlier_leases.unwrap_or_default();
         worst.min(self.term_start + super::AUTHORITY_MS + super::max_hold_ms(self.normal_lease()))
     }
@@ -257,7 +258,7 @@
     ///
     /// Grants of an earlier coordinator may be unanswered as well. They arrived before the
     /// release, or else the target refused them.
-    fn free_after_release(
+    pub(super) fn free_after_release(
         &self,
         service: &model::ServiceName,
         owner: &keys::Owner,
--- a/src/gateway/exchange/explain.rs
+++ b/src/gateway/exchange/explain.rs
@@ -137,6 +137,9 @@
     /// What the owner said of itself, if it leaves or asked for a pause.
     #[serde(default)]
     pub notice: Option<String>,
+    /// Why the owner may have no lease for the key, if this daemon is the coordinator.
+    #[serde(default)]
+    pub wait: Option<String>,
 }
 
 /// A target that might serve the request.
@@ -444,6 +447,7 @@
         table: offset,
         coordinator: table.host.clone(),
         notice: target.and_then(|target| notice_text(shared, &target.instance(), clock::now())),
+        wait: wait_text(shared, &request.service.name, key),
     };
     let obstacle = match (&run.owner, target) {
         (None, _) => Some("the key has no owner yet"),
@@ -458,6 +462,13 @@
     (Some(owner), result)
 }
 
+/// Returns why the owner of a key may have no lease for it, as this daemon knows it.
+fn wait_text(shared: &Shared, service: &model::ServiceName, key: u16) -> Option<String> {
+    let coordinator = shared.coordinator.get()?.borrow();
+    let wait = coordinator.wait_of(clock::now(), service, key);
+    wait.map(|wait| wait.to_string())
+}
+
 /// Returns why the owner of a key gets no request now, or `None` if it may get
 /// one.
 fn owner_obstacle(
--- a/src/gateway/executor.rs
+++ b/src/gateway/executor.rs
@@ -54,6 +54,8 @@
     let machine = coordinator::Coordinator::new(host, shared.incarnation, clock::now());
     let machine = machine.with_max_lease(shared.settings.bounds.lease.0);
     let machine: Coordinator = Rc::new(RefCell::new(machine));
+    // Set once, since this function is called once.
+    let _ = shared.coordinator.set(Rc::clone(&machine));
     let socket = Rc::clone(&shared.socket);
     let reader = TableReader {
         shared: Rc::clone(shared),
@@ -332,6 +334,7 @@
 
 /// Polls the state machine and executes its actions.
 async fn run(shared: Rc<Shared>, machine: Coordinator) {
+    let mut known = None;
     loop {
         let now = clock::now();
         if !shared.stopping.get() && shared.is_ready() {
@@ -349,6 +352,7 @@
             let actions = state.poll(now, rank);
             let ejected = state.ejected_owners();
             shared.history.set_ejected(now, state.offset(), ejected);
+            known = log_term(known, state.term(now));
             drop(state);
             for action in actions {
                 let (shared, machine) = (Rc::clone(&shared), Rc::clone(&machine));
@@ -368,6 +372,32 @@
     }
 }
 
+/// Logs the begin and the end of this daemon's term as the coordinator, and when runs of a
+/// restored log may be granted; returns the present term.
+fn log_term(
+    known: Option<coordinator::Term>,
+    term: Option<coordinator::Term>,
+) -> Option<coordinator::Term> {
+    let begun = |term: Option<coordinator::Term>| term.map(|term| term.offset);
+    match (known, term) {
+        (Some(known), None) => log::info!("no longer the coordinator by record {}", known.offset),
+        (_, Some(term)) if begun(known) != Some(term.offset) => log::info!(
+            "coordinator by record {}; leases of earlier ones: {}; {} runs wait for them",
+            term.offset,
+            term.leases,
+            term.unverified
+        ),
+        (Some(known), Some(term)) if known.unverified > 0 && term.unverified == 0 => {
+            log::info!("no run waits for leases by records that the log has lost");
+        }
+        (Some(known), Some(term)) if known.leases.reported != term.leases.reported => {
+            log::debug!("leases of earlier coordinators: {}", term.leases);
+        }
+        _ => {}
+    }
+    term
+}
+
 /// Returns this daemon's own load by service and bucket.
 fn own_load(shared: &Shared) -> BTreeMap<model::ServiceName, Vec<(u16, f32)>> {
     let demand = shared.key_demand.borrow();
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -1,7 +1,7 @@
 //! State that all tasks of a daemon share. The tasks run on one thread; no borrow
 //! may be held across an `await`.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -15,6 +15,7 @@
 use crate::gateway::catalog;
 use crate::gateway::choice;
 use crate::gateway::client;
+use crate::gateway::coordinator;
 use crate::gateway::counters;
 use crate::gateway::exchange::stop;
 use crate::gateway::history;
@@ -81,6 +82,8 @@
         RefCell<HashMap<model::ServiceName, (quota::RetryBudget, quota::RetryBudget)>>,
     /// Rate limits of requests to cold targets.
     pub cold_limiters: RefCell<HashMap<choice::Instance, quota::ColdLimiter>>,
+    /// State machine of the coordinator, once it runs.
+    pub(crate) coordinator: OnceCell<Rc<RefCell<coordinator::Coordinator>>>,
     /// Newest key table that this daemon knows, with its offset in the log.
     pub table: RefCell<Option<(model::Offset, Rc<keys::Table>)>>,
     /// Wakes requests that wait for a new owner of their key.
@@ -151,6 +154,7 @@
             work_times: RefCell::default(),
             retry_budgets: RefCell::default(),
             cold_limiters: RefCell::default(),
+            coordinator: OnceCell::new(),
             table: RefCell::default(),
             owner_changed: Notify::new(),
             log_returned: Notify::new(),
