Keep the earliest bound on longest leases in a coordinator's term

After a restore, keys waited up to 13 s for longest leases although a majority had answered long before that none could last: a daemon that restarted afterwards counts from its start, and an outage that the term's own coordinator reported counted as well, so that the bound rose again.

The first answer holds: a daemon that knows the term's record acknowledges no earlier coordinator's outage any more, and after a restart none for the time of an authority. The coordinator keeps the earliest bound of its term, and drops it if more daemons than before are needed for a majority. Each bound that is kept was one by which the coordinator could have granted before, so that one owner per key holds as before.

--- a/src/gateway/coordinator/acknowledgements.rs
+++ b/src/gateway/coordinator/acknowledgements.rs
@@ -38,6 +38,16 @@
     /// time of the last confirmation before it.
     outage: Option<u64>,
     acknowledged: BTreeSet<model::HostName>,
+    /// Bound on acknowledgements of earlier coordinators' outages in the present term.
+    bound: Option<Bound>,
+}
+
+/// Latest time at which a majority may have acknowledged an earlier coordinator's outage.
+#[derive(Clone, Copy, Debug)]
+struct Bound {
+    latest: clock::Millis,
+    /// Number of other daemons in the majority.
+    votes: usize,
 }
 
 impl Acknowledgements {
@@ -49,9 +59,35 @@
             reports: BTreeMap::new(),
             outage: None,
             acknowledged: BTreeSet::new(),
+            bound: None,
         }
     }
 
+    /// Forgets what bounds acknowledgements, when a term begins.
+    pub(super) fn begin_term(&mut self) {
+        self.bound = None;
+    }
+
+    /// Keeps the earliest bound that a majority has given in the term that began with the
+    /// record at `since`. A daemon that knows that record acknowledges no earlier outage any
+    /// more, nor does it soon after a restart, so that its first answer holds. An answer of a
+    /// smaller majority than the present one does not.
+    pub(super) fn keep_bound(&mut self, since: model::Offset) {
+        let votes = self.other_votes();
+        let kept = self.bound.filter(|bound| bound.votes >= votes);
+        let now = self.latest_acknowledged(since);
+        let now = now.map(|latest| Bound { latest, votes });
+        self.bound = match (kept, now) {
+            (Some(kept), Some(now)) if now.latest < kept.latest => Some(now),
+            (kept, now) => kept.or(now),
+        };
+    }
+
+    /// Returns the bound that was kept.
+    pub(super) fn bound(&self) -> Option<clock::Millis> {
+        self.bound.map(|bound| bound.latest)
+    }
+
     /// Returns the number of other daemons that form a majority together with this one.
     ///
     /// Daemons that report count even if their hosts' records are not known here yet: the
@@ -156,6 +192,14 @@
     /// coordinators may have granted.
     pub fn on_daemons(&mut self, live: u32) {
         self.acknowledgements.set_live(live);
+        self.keep_bound();
+    }
+
+    /// Keeps the bound on earlier acknowledgements while this daemon is the coordinator.
+    pub(super) fn keep_bound(&mut self) {
+        if self.earlier_leases.is_some() {
+            self.acknowledgements.keep_bound(self.term_offset);
+        }
     }
 
     /// Returns the time since this daemon last acknowledged an outage, in milliseconds,
@@ -176,6 +220,7 @@
     ) {
         self.acknowledgements
             .report(now, from, known, now - acknowledged_age);
+        self.keep_bound();
     }
 
     /// Returns the outage that other daemons should acknowledge, if this daemon may act
--- a/src/gateway/coordinator/orders.rs
+++ b/src/gateway/coordinator/orders.rs
@@ -200,7 +200,7 @@
     /// Returns until when extended leases of earlier coordinators may last.
     pub(super) fn extended_until(&self) -> clock::Millis {
         let worst = self.earlier_leases.unwrap_or_default();
-        match self.acknowledgements.latest_acknowledged(self.term_offset) {
+        match self.acknowledgements.bound() {
             // A coordinator whose outage was acknowledged may act until its authority ends.
             Some(latest) => {
                 let sent = latest + (super::AUTHORITY_MS - super::OUTAGE_TIMEOUT_MS);
--- a/src/gateway/coordinator/takeover.rs
+++ b/src/gateway/coordinator/takeover.rs
@@ -141,6 +141,7 @@
         } else if self.earlier_leases.is_none() {
             self.begin_term(now, predecessor);
             self.term_offset = offset;
+            self.keep_bound();
         }
         self.log.table = table;
         self.sync_orders(now, offset);
@@ -157,6 +158,7 @@
             self.grants_from = end;
         }
         self.term_start = now;
+        self.acknowledgements.begin_term();
         self.next_batch = now + super::BATCH_INTERVAL_MS;
     }
 
--- a/tests/gateway_coordinator/restored.rs
+++ b/tests/gateway_coordinator/restored.rs
@@ -59,11 +59,11 @@
 
 /// Runs until the daemon has appended a table, and returns the time.
 fn run_to_takeover(rig: &mut Rig) -> u64 {
-    let tables = rig.tables.len();
+    let (tables, start) = (rig.tables.len(), rig.now);
     while rig.tables.len() == tables {
         let orders = rig.run(1, done);
         assert!(orders.is_empty(), "orders before the takeover: {orders:?}");
-        assert!(rig.now < 20_000, "the daemon did not take over");
+        assert!(rig.now < start + 20_000, "the daemon did not take over");
     }
     rig.now - 1
 }
@@ -309,3 +309,32 @@
         "{after} reads after a record without a readable key, {usual} before"
     );
 }
+
+/// Guards against a wait for longest leases that grows again when daemons that have answered
+/// for the term restart, or acknowledge an outage of the term's own coordinator.
+#[test]
+fn poll_restored_reports_after_restart() {
+    let mut rig = Rig::new(Vec::new());
+    rig.now = 30_000;
+    rig.coordinator
+        .on_targets(Millis(30_000), None, vec![ready("a")], services());
+    rig.coordinator.on_daemons(3);
+    restore(&mut rig, Some(table_of("a", 4)), 4);
+    let term = run_to_takeover(&mut rig);
+    let known = rig.coordinator.offset();
+    let report = |rig: &mut Rig, age| {
+        for host in ["h1", "h2"] {
+            let now = Millis(rig.now);
+            rig.coordinator.on_report(now, host.into(), known, age);
+        }
+    };
+    report(&mut rig, 20_000);
+    rig.run(1_000, done);
+    report(&mut rig, 0);
+    let first = first_grant(&rig.run(20_000, done));
+    let earliest = term + coordinator::AUTHORITY_MS + NORMAL_HOLD_MS;
+    assert!(
+        (earliest..earliest + 100).contains(&first),
+        "{first} for {earliest}"
+    );
+}
