Send a release once grants to the former owner are answered

After a move, keys were served by nobody for 3.4 s whenever a renewal was under way while the move was recorded: its answer came after the release had been sent, so that the target might have applied the grant after the release, and the keys waited for the lease.

A grant that was answered before any release was sent was applied before it, and needs no wait. An unanswered grant is waited for as before, so that one owner per key holds.

poll_move_during_grant was red (released before the answer). The setting of poll_move_after_grant_in_flight, an answer after the release, no longer occurs: the test now demands that no release is sent before the answer, and that the keys wait for the lease if the release stays unanswered.

--- a/src/gateway/coordinator/orders.rs
+++ b/src/gateway/coordinator/orders.rs
@@ -49,6 +49,7 @@
             return;
         };
         self.record_lease(now, &entry, &reply);
+        let released_since = self.was_released_since(&entry);
         let order = self.orders.get_mut(&entry.id);
         let mut order = order.filter(|order| order.call == Some(call));
         let retry = match reply {
@@ -69,7 +70,7 @@
         // release: then the target may have applied the grant after the release.
         let uncertain = match &reply {
             super::OrderOutcome::Unanswered => true,
-            super::OrderOutcome::Done(_) => order.is_none(),
+            super::OrderOutcome::Done(_) => order.is_none() && released_since,
             _ => false,
         };
         if let (true, Some(lease)) = (uncertain, entry.lease) {
@@ -253,6 +254,41 @@
         last.unwrap_or_default()
     }
 
+    /// Returns whether a grant of keys of `range` to `owner` was sent and is not answered.
+    fn is_granting(
+        &self,
+        service: &model::ServiceName,
+        owner: &keys::Owner,
+        range: adapter::KeyRange,
+    ) -> bool {
+        self.calls.values().any(|call| {
+            let (of, leased, _) = &call.id;
+            let overlap = leased.first <= range.last && range.first <= leased.last;
+            of == service
+                && call.owner == *owner
+                && overlap
+                && call.lease.is_some()
+                && call.sent.is_some()
+        })
+    }
+
+    /// Returns whether a release of keys of `grant` was sent to its owner after the grant.
+    fn was_released_since(&self, grant: &super::Call) -> bool {
+        let (service, range, _) = &grant.id;
+        let concerns = |(of, other, _): &super::RunId| {
+            of == service && other.first <= range.last && range.first <= other.last
+        };
+        let mut calls = self.calls.values();
+        let sent = calls.any(|call| {
+            call.lease.is_none()
+                && call.owner == grant.owner
+                && concerns(&call.id)
+                && call.sent >= grant.sent
+        });
+        let mut orders = self.orders.iter();
+        sent || orders.any(|(id, order)| concerns(id) && order.released >= grant.sent)
+    }
+
     /// Returns from when `owner`, which answered a release at `released`, can no longer
     /// hold keys of `range`.
     ///
@@ -345,7 +381,11 @@
         if !extended {
             order.extended = false;
         }
-        let due = (order.call.is_none() && now >= order.next_send) || extend;
+        // The answer to a grant that was sent before the release shows that the grant was
+        // applied before it. Without it, the keys would have to wait for the grant's lease.
+        let prior = run.previous_owner.as_ref().filter(|_| releasing);
+        let awaited = prior.is_some_and(|prior| self.is_granting(service, prior, run.range));
+        let due = (order.call.is_none() && now >= order.next_send && !awaited) || extend;
         let owner = if releasing {
             &run.previous_owner
         } else {
@@ -373,7 +413,8 @@
             }
             _ => None,
         };
-        if order.call.is_none() {
+        // The answer to an awaited grant makes orders due.
+        if order.call.is_none() && !awaited {
             let next = if blocked {
                 self.grants_from
             } else {
--- a/tests/gateway_coordinator.rs
+++ b/tests/gateway_coordinator.rs
@@ -357,8 +357,8 @@
     assert_eq!(rig.keys_of("b"), 65_536);
 }
 
-/// Guards against two owners of a key when a grant is answered only after the release
-/// was sent: the target may have applied it after the release.
+/// Guards against two owners of a key when a grant is answered late: a target may apply it
+/// after a release that is sent meanwhile, so that the release has to wait for the answer.
 #[test]
 fn poll_move_after_grant_in_flight() {
     let mut rig = Rig::new(vec![ready("a"), ready("b")]);
@@ -369,27 +369,35 @@
     });
     let grants = in_flight.iter().filter(|(_, order)| is_for(order, "a"));
     let grants: Vec<_> = grants.cloned().collect();
-    let sent = grants.iter().map(|(at, _)| *at).max().unwrap();
+    assert!(!grants.is_empty());
     let draining = member("a", 1.0, coordinator::MemberState::Draining);
     let members = vec![draining, ready("b")];
     rig.coordinator
         .on_targets(Millis(rig.now), None, members, services());
     let fence = rig.end + 1;
-    rig.run(50, |order| match order {
-        coordinator::Action::Release { .. } => None,
-        _ => Some(coordinator::OrderOutcome::Done(None)),
-    });
+    let before = rig.run(600, done);
+    let concerns = |(_, order): &(u64, coordinator::Action)| {
+        is_release(order) || grant_of(order).is_some_and(|grant| grant.fence >= fence)
+    };
+    assert!(!before.iter().any(concerns), "{before:?}");
+    let answered = rig.now;
     for (_, grant) in &grants {
         let reply = coordinator::OrderOutcome::Done(None);
         rig.coordinator
             .on_ordered(Millis(rig.now), call_of(grant), reply);
     }
-    let orders = rig.run(6_000, done);
+    // The release stays unanswered, so that the keys wait for the end of the lease.
+    let orders = rig.run(6_000, |order| match order {
+        coordinator::Action::Release { .. } => None,
+        _ => Some(coordinator::OrderOutcome::Done(None)),
+    });
+    let released = orders.iter().find(|(_, order)| is_release(order)).unwrap();
+    assert!(released.0 >= answered);
     let moved = orders
         .iter()
         .find(|(_, order)| grant_of(order).is_some_and(|grant| grant.fence >= fence));
     let (granted, _) = moved.unwrap();
-    let end = sent + (coordinator::NORMAL_LEASE_MS * 100).div_ceil(98);
+    let end = answered + (coordinator::NORMAL_LEASE_MS * 100).div_ceil(98);
     assert!(
         *granted >= end,
         "granted at {granted}, the lease may last until {end}"
--- a/tests/gateway_coordinator/owners.rs
+++ b/tests/gateway_coordinator/owners.rs
@@ -291,3 +291,37 @@
     assert!(first >= Some(earliest), "{first:?} before {earliest}");
     assert!(first <= Some(earliest + 100), "{first:?} after {earliest}");
 }
+
+/// Guards against keys that nobody serves for the time of a lease since their move began
+/// while a grant to the former owner was under way.
+#[test]
+fn poll_move_during_grant() {
+    let mut rig = Rig::new(vec![ready("a")]);
+    rig.run(2_000, done);
+    // A renewal is sent and stays unanswered while the move is recorded.
+    let mut pending = None;
+    while pending.is_none() {
+        let orders = rig.run(1, |_| None);
+        let grant = orders.iter().find(|(_, order)| grant_of(order).is_some());
+        pending = grant.map(|(_, order)| call_of(order));
+    }
+    let members = vec![
+        member("a", 1.0, coordinator::MemberState::Draining),
+        ready("b"),
+    ];
+    rig.coordinator
+        .on_targets(Millis(rig.now), None, members, services());
+    let mut orders = rig.run(20, done);
+    let answer = coordinator::OrderOutcome::Done(None);
+    rig.coordinator
+        .on_ordered(Millis(rig.now), pending.unwrap(), answer);
+    let answered = rig.now;
+    orders.extend(rig.run(5_000, done));
+    let released = orders.iter().find(|(_, order)| is_release(order)).unwrap();
+    assert!(released.0 >= answered, "released before the answer");
+    let granted = orders
+        .iter()
+        .find(|(_, order)| grant_of(order).is_some() && is_for(order, "b"));
+    let waited = granted.unwrap().0 - answered;
+    assert!(waited <= 50, "granted {waited} ms after the answer");
+}
