--- a/src/gateway/coordinator.rs
+++ b/src/gateway/coordinator.rs
@@ -14,6 +14,7 @@
 mod plan;
 mod revise;
 mod takeover;
+mod waits;
 
 use std::collections::{BTreeMap, BTreeSet, btree_map};
 use std::fmt;
@@ -25,6 +26,7 @@
 use crate::model;
 
 pub use self::freed::{Evidence, Freed};
+pub use self::waits::{EarlierLeases, Term, Wait};
 
 /// Time for which the coordinator may act after the start of a read or append that showed
 /// its record as the newest one.
@@ -258,6 +260,8 @@
     handover: Option<Arc<str>>,
     /// The last grant had an extended lease.
     extended: bool,
+    /// A grant was answered.
+    granted: bool,
     fenced: bool,
 }
 
