Add the state of the quarantine of requests that crash targets

The pure part: evidence, verdicts, trials, bounds, and the messages about them; settings policy.quarantine_crashes and policy.quarantine_time. Nothing calls it yet.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -18,6 +18,7 @@
 pub mod keys;
 pub mod notices;
 pub mod peers;
+pub mod quarantine;
 pub mod query;
 pub mod quota;
 pub mod recent;
--- /dev/null
+++ b/src/gateway/quarantine.rs
@@ -0,0 +1,828 @@
+//! Requests that crash the targets that run them: evidence, verdicts, and what daemons tell
+//! each other of both.
+//!
+//! A request is refused on all daemons once enough instances have crashed in attempts of it
+//! and no daemon has an answer to it. This module does no I/O and reads no clock. All
+//! tables are bounded; each one names what it drops.
+
+mod answers;
+mod breaks;
+mod crashes;
+mod digest;
+mod order;
+mod outbox;
+mod suspects;
+mod verdicts;
+pub mod wire;
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+pub use self::digest::{Digest, InvalidDigest, Subject};
+use self::outbox::{Notice, Recipient};
+pub use self::verdicts::Cause;
+use self::verdicts::{Change, State, Verdict};
+use self::wire::At;
+use crate::clock;
+use crate::gateway::choice;
+use crate::gateway::settings;
+use crate::model;
+
+/// Time after which a notice is sent a second time, in milliseconds.
+const REPEAT_MS: u64 = 150;
+
+/// Time from the question for answers until a verdict, in milliseconds: for the question,
+/// its repetition, and an answer from another region.
+const SETTLE_MS: u64 = 400;
+
+/// Interval between messages with known verdicts, and between removals of what is too old,
+/// in milliseconds.
+const ROUND_MS: u64 = 1_000;
+
+/// Daemons to which known verdicts are sent in each round.
+const ROUND_HOSTS: usize = 2;
+
+/// Largest number of items in a datagram, about 1.2 KB with usual names of routes.
+const MAX_ITEMS: usize = 20;
+
+/// Verdicts in each message of a round.
+const ROUND_ITEMS: usize = 8;
+
+/// Verdicts of a round that are the newest ones; the others are sent in turn.
+const NEWEST_ITEMS: usize = ROUND_ITEMS / 2;
+
+/// Largest number of verdicts in the answer to a daemon that starts.
+const MAX_ANSWER: usize = 200;
+
+/// Daemons that a daemon asks for verdicts when it starts.
+const ASKED_HOSTS: usize = 3;
+
+/// Interval between these questions, in milliseconds.
+const ASK_INTERVAL_MS: u64 = 200;
+
+/// Time for which a daemon that starts waits for verdicts, in milliseconds.
+const ASK_MS: u64 = 1_000;
+
+/// Events that wait to be taken; bounds memory.
+const MAX_EVENTS: usize = 256;
+
+/// Rules for a verdict.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Rules {
+    /// Instances that crash before a request is refused.
+    pub crashes: u32,
+    /// Time until the first trial, in milliseconds.
+    pub hold_ms: u64,
+}
+
+impl From<&settings::Policy> for Rules {
+    fn from(policy: &settings::Policy) -> Self {
+        Self {
+            crashes: policy.quarantine_crashes,
+            hold_ms: policy.quarantine_time.0,
+        }
+    }
+}
+
+/// An attempt of a request at an instance.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    /// Digest of the request.
+    pub digest: Digest,
+    /// Name of its route.
+    pub route: Arc<str>,
+    /// Target and its incarnation.
+    pub instance: choice::Instance,
+    /// Begin of the attempt.
+    pub began: clock::Millis,
+}
+
+/// How an attempt ended whose connection broke.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Break {
+    /// The request was written completely.
+    pub written: bool,
+    /// No byte of a response had arrived.
+    pub silent: bool,
+    /// The daemon itself closed the connection: its time was over, its caller left, another
+    /// attempt was faster, or the daemon stops.
+    pub own: bool,
+    /// Whether the instance was fit for requests.
+    pub fitness: Fitness,
+}
+
+impl Break {
+    /// Returns whether the request may have ended the instance.
+    pub fn is_evidence(self) -> bool {
+        self.written && self.silent && !self.own && self.fitness != Fitness::Unfit
+    }
+}
+
+/// Whether an instance was fit for requests when an attempt at it broke.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fitness {
+    /// It was ready and warm, in a failure domain that is not drained, and had said neither
+    /// that it leaves nor that it wants a pause.
+    Warm,
+    /// The same, but cold: load may have ended it.
+    Cold,
+    /// It was about to end, or was not to get requests.
+    Unfit,
+}
+
+/// Whether an attempt may be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// It may be sent.
+    Open,
+    /// It may be sent as the trial of a verdict. No other attempt is admitted after it
+    /// unless it is answered.
+    Trial,
+    /// It must not be sent. The next trial is due in this time in milliseconds.
+    Refused(u64),
+}
+
+/// What happened to a verdict.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Happening {
+    /// The request is refused from now on, after this number of crashes.
+    Quarantined(u32),
+    /// A daemon takes a trial.
+    Trial,
+    /// The request is served again.
+    Ended(Cause),
+}
+
+/// An event for operators.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Event {
+    /// Digest of the request.
+    pub digest: Digest,
+    /// Name of its route.
+    pub route: Arc<str>,
+    /// What happened.
+    pub happening: Happening,
+}
+
+/// A verdict as shown to operators.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listed {
+    /// Digest of the request, 16 hexadecimal digits.
+    pub digest: String,
+    /// Name of its route.
+    pub route: Arc<str>,
+    /// Instances that had crashed when the verdict was passed.
+    pub crashes: u32,
+    /// Age of the verdict in milliseconds.
+    pub since: u64,
+    /// Time until the next trial in milliseconds, 0 if one is due; absent if the verdict
+    /// has ended.
+    pub trial: Option<u64>,
+    /// Trials so far.
+    pub trials: u32,
+    /// Why the verdict ended; absent if it has not.
+    pub ended: Option<Cause>,
+    /// Requests that this daemon refused.
+    pub refused: u64,
+}
+
+/// Numbers of entries in the tables.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Sizes {
+    /// Requests that were answered lately.
+    pub answers: usize,
+    /// Breaks that wait for proof.
+    pub breaks: usize,
+    /// Requests with crashes.
+    pub crashes: usize,
+    /// Suspects.
+    pub suspects: usize,
+    /// Verdicts, those that ended included.
+    pub verdicts: usize,
+    /// Notices that wait to be sent, and questions that wait for answers.
+    pub queued: usize,
+}
+
+impl Sizes {
+    /// Largest numbers of entries.
+    pub const MAX: Self = Self {
+        answers: 2 * answers::HALF,
+        breaks: breaks::CAPACITY,
+        crashes: crashes::CAPACITY,
+        suspects: suspects::CAPACITY,
+        verdicts: verdicts::CAPACITY,
+        queued: outbox::CAPACITY + crashes::CAPACITY,
+    };
+}
+
+/// What one daemon knows of requests that crash targets.
+#[derive(Debug)]
+pub struct Quarantine {
+    rules: Rules,
+    order: order::Order,
+    answers: answers::Answers,
+    breaks: breaks::Breaks,
+    crashes: crashes::Crashes,
+    suspects: suspects::Suspects,
+    verdicts: verdicts::Verdicts,
+    outbox: outbox::Outbox,
+    /// Requests whose verdict is passed at this time unless they are answered.
+    settling: VecDeque<(clock::Millis, Digest)>,
+    events: VecDeque<Event>,
+    /// Whether another daemon has told all its verdicts.
+    known: bool,
+    /// Time until which the daemon waits for that.
+    ask_until: clock::Millis,
+    next_ask: clock::Millis,
+    next_round: clock::Millis,
+    /// Number of rounds, from a start that differs between daemons.
+    round: usize,
+}
+
+impl Quarantine {
+    /// Returns the state of a daemon on host `own` that starts at `now`.
+    pub fn new(own: model::HostName, rules: Rules, now: clock::Millis) -> Self {
+        Self {
+            rules,
+            round: order::weight(Digest(0), &own) as u32 as usize,
+            order: order::Order::new(own),
+            answers: answers::Answers::default(),
+            breaks: breaks::Breaks::default(),
+            crashes: crashes::Crashes::default(),
+            suspects: suspects::Suspects::default(),
+            verdicts: verdicts::Verdicts::default(),
+            outbox: outbox::Outbox::new(now),
+            settling: VecDeque::new(),
+            events: VecDeque::new(),
+            known: false,
+            ask_until: now + ASK_MS,
+            next_ask: now,
+            next_round: now + ROUND_MS,
+        }
+    }
+
+    /// Returns whether the daemon knows the verdicts of the others, or has waited for them
+    /// for long enough. It should not be ready before.
+    pub fn is_settled(&self, now: clock::Millis) -> bool {
+        self.known || now >= self.ask_until
+    }
+
+    /// Returns whether any request is refused. If not, the digest of a request is needed
+    /// only when its attempt has ended.
+    pub fn is_refusing(&self) -> bool {
+        self.verdicts.held() > 0
+    }
+
+    /// Returns the numbers of entries in the tables.
+    pub fn sizes(&self) -> Sizes {
+        Sizes {
+            answers: self.answers.len(),
+            breaks: self.breaks.len(),
+            crashes: self.crashes.len(),
+            suspects: self.suspects.len(),
+            verdicts: self.verdicts.len(),
+            queued: self.outbox.len() + self.settling.len(),
+        }
+    }
+
+    /// Replaces the other live daemons. Crashes that this daemon saw are sent to those that
+    /// now collect them.
+    pub fn on_daemons(
+        &mut self,
+        live: impl IntoIterator<Item = model::HostName>,
+        now: clock::Millis,
+    ) {
+        let is_first = self.order.others().is_empty();
+        if !self.order.set(live) {
+            return;
+        }
+        if is_first && !self.is_settled(now) {
+            self.ask_until = now + ASK_MS;
+        }
+        for digest in self.crashes.reported_by(self.order.own()) {
+            self.report(digest, now);
+        }
+    }
+
+    /// Returns the time in milliseconds until the next trial of a request that is refused;
+    /// none if an attempt may be sent, be it as a trial. To be called before a target is
+    /// chosen, so that a refused request waits for nothing.
+    pub fn refusal(&mut self, digest: Digest, now: clock::Millis) -> Option<u64> {
+        let entry = self.verdicts.get(digest)?;
+        let State::Held(trial) = entry.verdict.state else {
+            return None;
+        };
+        if now >= trial && self.order.is_turn(digest, now.since(trial)) {
+            return None;
+        }
+        self.verdicts.on_refused(digest, now);
+        Some(match trial.since(now) {
+            0 => order::TURN_MS,
+            time => time,
+        })
+    }
+
+    /// Decides whether an attempt of a request is sent now; to be called before each
+    /// attempt, hedges included, when its target has been chosen. If it is a trial, the
+    /// trial counts as taken.
+    pub fn admit(&mut self, digest: Digest, now: clock::Millis) -> Admission {
+        if let Some(time) = self.refusal(digest, now) {
+            return Admission::Refused(time);
+        }
+        if let Some(entry) = self.verdicts.get(digest).filter(|entry| entry.is_held()) {
+            let trials = entry.verdict.trials.saturating_add(1);
+            let hold = verdicts::hold_ms(self.rules.hold_ms, trials);
+            let verdict = Verdict {
+                number: self.verdicts.next_number(digest),
+                trials,
+                state: State::Held(now + hold),
+                ..entry.verdict.clone()
+            };
+            self.publish(digest, verdict, now);
+            return Admission::Trial;
+        }
+        Admission::Open
+    }
+
+    /// Records an attempt whose connection broke at `now`. Returns whether it waits for
+    /// proof that the instance has ended.
+    pub fn on_broken(&mut self, attempt: Attempt, end: Break, now: clock::Millis) -> bool {
+        if !end.is_evidence() {
+            return false;
+        }
+        self.breaks.add(breaks::Break {
+            digest: attempt.digest,
+            route: attempt.route,
+            instance: attempt.instance,
+            began: attempt.began,
+            ended: now,
+            cold: end.fitness == Fitness::Cold,
+        });
+        true
+    }
+
+    /// Records that an instance responded, in whatever way, to an attempt or an order begun
+    /// at `began`.
+    pub fn on_response(&mut self, instance: &choice::Instance, began: clock::Millis) {
+        self.breaks.on_response(instance, began);
+    }
+
+    /// Records that an attempt of a request was answered at `now` by a target that ran it.
+    pub fn on_answered(&mut self, digest: Digest, now: clock::Millis) {
+        self.answers.add(digest, now);
+        self.end(digest, Cause::Answered, now);
+        self.crashes.on_answered(digest, now, self.rules.crashes);
+        for host in self.suspects.remove(digest) {
+            self.tell_twice(host, &Notice::Answered(digest, now), now);
+        }
+    }
+
+    /// Records that an instance refused a connection begun at `began`.
+    pub fn on_refused(
+        &mut self,
+        instance: &choice::Instance,
+        began: clock::Millis,
+        now: clock::Millis,
+    ) {
+        for proven in self.breaks.on_refused(instance, began) {
+            self.on_proven(proven, now);
+        }
+    }
+
+    /// Records that an instance accepted a connection, so that no further one is opened to
+    /// learn whether it has ended.
+    pub fn on_accepted(&mut self, instance: &choice::Instance) {
+        self.breaks.on_accepted(instance);
+    }
+
+    /// Compares the instances at which attempts broke with the list of targets:
+    /// `is_current` returns whether the list shows this instance, and no newer one.
+    pub fn on_list(&mut self, is_current: impl Fn(&choice::Instance) -> bool, now: clock::Millis) {
+        for proven in self.breaks.on_list(is_current) {
+            self.on_proven(proven, now);
+        }
+    }
+
+    /// Returns the instances to which a connection is to be opened now, to learn whether
+    /// they have ended.
+    pub fn take_probes(&mut self, now: clock::Millis) -> Vec<choice::Instance> {
+        self.breaks.take_probes(now)
+    }
+
+    /// Ends the verdict on a request on all daemons, for an operator. Returns whether there
+    /// was one.
+    pub fn lift(&mut self, digest: Digest, now: clock::Millis) -> bool {
+        self.end(digest, Cause::Operator, now)
+    }
+
+    /// Returns all verdicts for operators, the one that changed last first.
+    pub fn list(&self, now: clock::Millis) -> Vec<Listed> {
+        let newest = self.verdicts.newest().into_iter();
+        let listed = newest.map(|(digest, entry)| {
+            let verdict = &entry.verdict;
+            let (trial, ended) = match verdict.state {
+                State::Held(trial) => (Some(trial.since(now)), None),
+                State::Ended(cause) => (None, Some(cause)),
+            };
+            Listed {
+                digest: digest.to_string(),
+                route: Arc::clone(&verdict.route),
+                crashes: verdict.crashes,
+                since: now.since(verdict.since),
+                trial,
+                trials: verdict.trials,
+                ended,
+                refused: entry.refused,
+            }
+        });
+        listed.collect()
+    }
+
+    /// Returns whether a request is refused, but for trials. Changes nothing.
+    pub fn is_quarantined(&self, digest: Digest) -> bool {
+        self.verdicts.is_held(digest)
+    }
+
+    /// Returns the events since the last call.
+    pub fn take_events(&mut self) -> Vec<Event> {
+        self.events.drain(..).collect()
+    }
+
+    /// Handles the message of another daemon.
+    ///
+    /// # Errors
+    /// Returns why the first invalid part was skipped. The other parts have their effect.
+    pub fn on_message(
+        &mut self,
+        message: &wire::Datagram,
+        now: clock::Millis,
+    ) -> Result<(), wire::Invalid> {
+        let host = &message.host;
+        if host == self.order.own() {
+            return Ok(());
+        }
+        let mut result = Ok(());
+        for item in &message.items {
+            result = result.and(self.on_item(host, item, now));
+        }
+        result
+    }
+
+    fn on_item(
+        &mut self,
+        host: &model::HostName,
+        item: &wire::Item,
+        now: clock::Millis,
+    ) -> Result<(), wire::Invalid> {
+        match item {
+            wire::Item::Crash(crash) => {
+                let digest = Digest(crash.digest);
+                let known = crashes::Crash::try_from(At(now, (crash, host)))?;
+                self.add_crash(digest, &crash.route, known, now);
+            }
+            wire::Item::Suspect(_, age) if *age > crashes::KEPT_MS => {
+                return Err(wire::Invalid::Age);
+            }
+            wire::Item::Suspect(digest, age) => {
+                self.on_suspect(host, Digest(*digest), now - *age, now);
+            }
+            wire::Item::Answered(digest, age) => {
+                self.on_answer_reported(Digest(*digest), now - *age, now);
+            }
+            wire::Item::Verdict(verdict) => {
+                let new = Verdict::try_from(At(now, verdict))?;
+                self.on_verdict(Digest(verdict.digest), new, now);
+            }
+            wire::Item::Ask => {
+                let to = Recipient::Host(host.clone());
+                self.outbox.add(now, to, Notice::Known);
+                let newest = self.verdicts.newest().into_iter();
+                for (digest, _) in newest.take(MAX_ANSWER) {
+                    let to = Recipient::Host(host.clone());
+                    self.outbox.add(now, to, Notice::Verdict(digest));
+                }
+            }
+            wire::Item::Known => self.known = true,
+        }
+        Ok(())
+    }
+
+    /// Returns the time of this daemon's last answer to a request, if it shows that the
+    /// request did not cause a crash at `crashed`.
+    fn cleared_at(&self, digest: Digest, crashed: clock::Millis) -> Option<clock::Millis> {
+        let last = self.answers.last(digest);
+        last.filter(|at| answers::clears(*at, crashed))
+    }
+
+    /// Handles another daemon's question for answers to a request.
+    fn on_suspect(
+        &mut self,
+        host: &model::HostName,
+        digest: Digest,
+        crashed: clock::Millis,
+        now: clock::Millis,
+    ) {
+        let to = Recipient::Host(host.clone());
+        if self.verdicts.is_held(digest) {
+            self.outbox.add(now, to, Notice::Verdict(digest));
+        } else if let Some(at) = self.cleared_at(digest, crashed) {
+            self.outbox.add(now, to, Notice::Answered(digest, at));
+        } else {
+            self.suspects.add(digest, host, now);
+        }
+    }
+
+    /// Handles another daemon's report that an attempt was answered, which ended at `at`.
+    fn on_answer_reported(&mut self, digest: Digest, at: clock::Millis, now: clock::Millis) {
+        self.crashes.on_answered(digest, at, self.rules.crashes);
+        let entry = self.verdicts.get(digest);
+        let is_cleared = |entry: &verdicts::Entry| {
+            entry.verdict.trials == 0 && answers::clears(at, entry.verdict.crashed)
+        };
+        if entry.is_some_and(is_cleared) {
+            self.end(digest, Cause::Answered, now);
+        }
+    }
+
+    /// Merges a version of a verdict, and ends it if an answer here shows that the request
+    /// did not cause its last crash.
+    fn on_verdict(&mut self, digest: Digest, new: Verdict, now: clock::Millis) {
+        let is_cleared = new.trials == 0 && self.cleared_at(digest, new.crashed).is_some();
+        let version = new.clone();
+        match self.verdicts.merge(digest, new, now) {
+            Change::None => return,
+            Change::Replaced => {}
+            Change::Renumbered => self.broadcast_twice(&Notice::Verdict(digest), now),
+        }
+        self.on_changed(digest, &version);
+        if is_cleared {
+            self.end(digest, Cause::Answered, now);
+        }
+    }
+
+    /// Records that the instance of a break has ended, and reports the crash.
+    fn on_proven(&mut self, proven: breaks::Break, now: clock::Millis) {
+        let crash = crashes::Crash {
+            instance: proven.instance.digest(),
+            reporter: self.order.own().clone(),
+            began: proven.began,
+            ended: proven.ended,
+            cold: proven.cold,
+        };
+        if self.add_crash(proven.digest, &proven.route, crash, now) {
+            if let Some(record) = self.crashes.get_mut(proven.digest) {
+                record.told.clear();
+            }
+            self.report(proven.digest, now);
+        }
+    }
+
+    /// Adds a crash, and decides on the request. Returns whether it was added.
+    fn add_crash(
+        &mut self,
+        digest: Digest,
+        route: &Arc<str>,
+        crash: crashes::Crash,
+        now: clock::Millis,
+    ) -> bool {
+        let entry = self.verdicts.get(digest);
+        let is_decided = entry.is_some_and(|e| e.is_held() || crash.ended <= e.changed);
+        let is_cleared = self.cleared_at(digest, crash.ended).is_some();
+        if is_decided || is_cleared || !self.crashes.add(digest, route, crash, now) {
+            return false;
+        }
+        self.decide(digest, now);
+        true
+    }
+
+    /// Sends this daemon's crashes of a request to collectors that were not told.
+    fn report(&mut self, digest: Digest, now: clock::Millis) {
+        let collectors = self.order.collectors(digest);
+        let own = self.order.own().clone();
+        let Some(record) = self.crashes.get_mut(digest) else {
+            return;
+        };
+        let told = std::mem::replace(&mut record.told, collectors.clone());
+        let crashes = record.crashes.iter().filter(|crash| crash.reporter == own);
+        let route = Arc::clone(&record.route);
+        let crashes: Vec<_> = crashes.cloned().collect();
+        for host in collectors {
+            if host == own || told.contains(&host) {
+                continue;
+            }
+            for crash in &crashes {
+                let notice = Notice::Crash(digest, Arc::clone(&route), crash.clone());
+                self.tell_twice(host.clone(), &notice, now);
+            }
+        }
+    }
+
+    /// Asks for answers to a request, or passes a verdict on it, as its crashes require.
+    fn decide(&mut self, digest: Digest, now: clock::Millis) {
+        let limit = self.rules.crashes;
+        let Some(record) = self.crashes.get_mut(digest) else {
+            return;
+        };
+        let Some(crashed) = record.crashed() else {
+            return;
+        };
+        match (record.is_proven(limit), record.settling) {
+            (true, Some(asked)) if now.since(asked) >= SETTLE_MS => {
+                return self.pass(digest, now);
+            }
+            (true, None) => {
+                record.settling = Some(now);
+                record.asked = true;
+                if self.settling.len() == crashes::CAPACITY {
+                    self.settling.pop_front();
+                }
+                self.settling.push_back((now + SETTLE_MS, digest));
+            }
+            (false, _) if record.is_suspect(limit) && !record.asked => record.asked = true,
+            _ => return,
+        }
+        let own = self.order.own().clone();
+        self.suspects.add(digest, &own, now);
+        self.broadcast_twice(&Notice::Suspect(digest, crashed), now);
+    }
+
+    /// Passes a verdict on a request.
+    fn pass(&mut self, digest: Digest, now: clock::Millis) {
+        let Some(record) = self.crashes.get_mut(digest) else {
+            return;
+        };
+        let verdict = Verdict {
+            route: Arc::clone(&record.route),
+            crashes: record.crashes.len() as u32,
+            number: self.verdicts.next_number(digest),
+            trials: 0,
+            state: State::Held(now + self.rules.hold_ms),
+            since: now,
+            crashed: record.crashed().unwrap_or(now),
+        };
+        self.publish(digest, verdict, now);
+    }
+
+    /// Ends a verdict that refuses. Returns whether there was one.
+    fn end(&mut self, digest: Digest, cause: Cause, now: clock::Millis) -> bool {
+        let Some(entry) = self.verdicts.get(digest).filter(|entry| entry.is_held()) else {
+            return false;
+        };
+        let verdict = Verdict {
+            number: self.verdicts.next_number(digest),
+            state: State::Ended(cause),
+            ..entry.verdict.clone()
+        };
+        self.publish(digest, verdict, now);
+        true
+    }
+
+    /// Records a new version of a verdict and tells all daemons.
+    fn publish(&mut self, digest: Digest, verdict: Verdict, now: clock::Millis) {
+        let version = verdict.clone();
+        self.verdicts.merge(digest, verdict, now);
+        self.on_changed(digest, &version);
+        self.broadcast_twice(&Notice::Verdict(digest), now);
+    }
+
+    /// Forgets the evidence of a request whose verdict has changed, and adds an event.
+    fn on_changed(&mut self, digest: Digest, verdict: &Verdict) {
+        self.crashes.remove(digest);
+        self.suspects.remove(digest);
+        let happening = match verdict.state {
+            State::Held(_) if verdict.trials == 0 => Happening::Quarantined(verdict.crashes),
+            State::Held(_) => Happening::Trial,
+            State::Ended(cause) => Happening::Ended(cause),
+        };
+        if self.events.len() == MAX_EVENTS {
+            self.events.pop_front();
+        }
+        self.events.push_back(Event {
+            digest,
+            route: Arc::clone(&verdict.route),
+            happening,
+        });
+    }
+
+    fn tell_twice(&mut self, host: model::HostName, notice: &Notice, now: clock::Millis) {
+        if host == *self.order.own() {
+            return;
+        }
+        for at in [now, now + REPEAT_MS] {
+            let to = Recipient::Host(host.clone());
+            self.outbox.add(at, to, notice.clone());
+        }
+    }
+
+    fn broadcast_twice(&mut self, notice: &Notice, now: clock::Millis) {
+        if self.order.others().is_empty() {
+            return;
+        }
+        for at in [now, now + REPEAT_MS] {
+            self.outbox.add(at, Recipient::All, notice.clone());
+        }
+    }
+
+    /// Passes verdicts that are due, drops what is too old, and returns the messages to be
+    /// sent now, each with its host; to be called every 25 ms or so.
+    pub fn take_messages(&mut self, now: clock::Millis) -> Vec<(model::HostName, wire::Datagram)> {
+        while let Some((_, digest)) = self.settling.pop_front_if(|(due, _)| *due <= now) {
+            self.decide(digest, now);
+        }
+        self.ask(now);
+        let mut round = BTreeMap::new();
+        if now >= self.next_round {
+            self.next_round = now + ROUND_MS;
+            self.breaks.expire(now);
+            self.crashes.expire(now);
+            self.suspects.expire(now);
+            self.verdicts.expire(now);
+            round = self.next_round_notices();
+        }
+        let mut due = self.outbox.take(self.order.others(), now);
+        for (host, notices) in round {
+            due.entry(host).or_default().extend(notices);
+        }
+        let mut messages = Vec::new();
+        for (host, notices) in due {
+            let items: Vec<_> = notices
+                .iter()
+                .filter_map(|notice| self.item(notice, now))
+                .collect();
+            for items in items.chunks(MAX_ITEMS) {
+                let datagram = wire::Datagram {
+                    host: self.order.own().clone(),
+                    items: items.to_vec(),
+                };
+                messages.push((host.clone(), datagram));
+            }
+        }
+        messages
+    }
+
+    /// Asks other daemons for their verdicts until one has answered.
+    fn ask(&mut self, now: clock::Millis) {
+        let others = self.order.others();
+        if self.known || others.is_empty() || now < self.next_ask || now >= self.ask_until {
+            return;
+        }
+        self.next_ask = now + ASK_INTERVAL_MS;
+        for host in hosts_of_round(others.iter(), self.round, ASKED_HOSTS) {
+            self.outbox.add(now, Recipient::Host(host), Notice::Ask);
+        }
+        self.round = self.round.wrapping_add(1);
+    }
+
+    /// Returns the verdicts of the next round for each of its hosts.
+    fn next_round_notices(&mut self) -> BTreeMap<model::HostName, Vec<Notice>> {
+        let newest: Vec<_> = self.verdicts.newest().into_iter().map(|(d, _)| d).collect();
+        if newest.is_empty() {
+            return BTreeMap::new();
+        }
+        self.round = self.round.wrapping_add(1);
+        let (first, rest) = newest.split_at(newest.len().min(NEWEST_ITEMS));
+        let mut digests = first.to_vec();
+        let skipped = self.round.wrapping_mul(ROUND_ITEMS - NEWEST_ITEMS) % rest.len().max(1);
+        let in_turn = rest.iter().cycle().skip(skipped);
+        digests.extend(in_turn.take(rest.len().min(ROUND_ITEMS - NEWEST_ITEMS)));
+        let hosts = hosts_of_round(self.order.others().iter(), self.round, ROUND_HOSTS);
+        let notices = digests.into_iter().map(Notice::Verdict);
+        let notices: Vec<_> = notices.collect();
+        let round = hosts.into_iter().map(|host| (host, notices.clone()));
+        round.collect()
+    }
+
+    /// Returns a notice as part of a message; none for a verdict that is no longer kept.
+    fn item(&self, notice: &Notice, now: clock::Millis) -> Option<wire::Item> {
+        Some(match notice {
+            Notice::Crash(digest, route, crash) => {
+                wire::Item::Crash(At(now, (*digest, route, crash)).into())
+            }
+            Notice::Suspect(digest, at) => wire::Item::Suspect(digest.0, now.since(*at)),
+            Notice::Answered(digest, at) => wire::Item::Answered(digest.0, now.since(*at)),
+            Notice::Verdict(digest) => {
+                let verdict = &self.verdicts.get(*digest)?.verdict;
+                wire::Item::Verdict(At(now, (*digest, verdict)).into())
+            }
+            Notice::Ask => wire::Item::Ask,
+            Notice::Known => wire::Item::Known,
+        })
+    }
+}
+
+/// Returns up to `count` hosts, other ones in each round until all had their turn.
+fn hosts_of_round<'h>(
+    hosts: impl ExactSizeIterator<Item = &'h model::HostName> + Clone,
+    round: usize,
+    count: usize,
+) -> Vec<model::HostName> {
+    let total = hosts.len();
+    if total == 0 {
+        return Vec::new();
+    }
+    let skipped = round.wrapping_mul(count) % total;
+    let in_turn = hosts.cycle().skip(skipped).take(count.min(total));
+    in_turn.cloned().collect()
+}
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::path::Path;
 
 use serde::{Deserialize, Deserializer, Serialize, de};
@@ -120,8 +121,8 @@
     }
 }
 
-/// Costs that the choice of targets adds to a target's estimated response time,
-/// for its distance and for a new connection.
+/// Costs that the choice of targets adds to a target's estimated response time, for its
+/// distance and for a new connection, and rules for requests that crash targets.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Policy {
@@ -133,6 +134,10 @@
     /// `domain_cost`: otherwise a target in the same domain that becomes available
     /// again would get no requests.
     pub connect_cost: Time,
+    /// Targets that a request crashes before all daemons refuse it, 1 to 3.
+    pub quarantine_crashes: u32,
+    /// Time for which such a request is refused before one attempt is made as a trial.
+    pub quarantine_time: Time,
 }
 
 impl Default for Policy {
@@ -141,6 +146,8 @@
             domain_cost: Time(20),
             region_cost: Time(150),
             connect_cost: Time(15),
+            quarantine_crashes: 3,
+            quarantine_time: Time(600_000),
         }
     }
 }
@@ -202,6 +209,14 @@
 /// Milliseconds per second.
 const MS_PER_S: f64 = 1_000.0;
 
+/// Crashes after which a request may be refused. With more than the highest one, it would
+/// be sent to more targets after its third crash than the users' rule allows.
+const QUARANTINE_CRASHES: RangeInclusive<u32> = 1..=3;
+
+/// Shortest time until a trial, in milliseconds: the daemons have to learn of one before
+/// the next.
+const MIN_QUARANTINE_MS: u64 = 10_000;
+
 /// The whole, in millionths.
 const WHOLE_PPM: u32 = 1_000_000;
 
@@ -291,6 +306,21 @@
             settings.service_level.slo_ppm.to_string(),
         );
     }
+    let policy = &settings.policy;
+    if !QUARANTINE_CRASHES.contains(&policy.quarantine_crashes) {
+        findings.add(
+            format!("{place} at policy.quarantine_crashes"),
+            "a number from 1 to 3",
+            policy.quarantine_crashes.to_string(),
+        );
+    }
+    if policy.quarantine_time.0 < MIN_QUARANTINE_MS {
+        findings.add(
+            format!("{place} at policy.quarantine_time"),
+            "a time of at least 10s",
+            format!("{}ms", policy.quarantine_time.0),
+        );
+    }
     let factors = [
         ("retry_share", settings.bounds.retry_share),
         ("retry_extra", settings.bounds.retry_extra),
