--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -19,6 +19,7 @@
 pub mod notices;
 pub mod order;
 pub mod peers;
+pub mod quarantine;
 pub mod query;
 pub mod quota;
 pub mod recent;
