Refuse requests that crash targets on all daemons

Some requests crash each target that begins to run them and come again, with the same method, path and body, at any daemon.

Cause: nothing remembered that a request's attempts ended with the end of their targets; each daemon, and each new attempt of a caller, began anew.

The quarantine (design.md, 2.14) now gets the broken attempts of requests, opens its connections, exchanges its messages, and is asked before each attempt and each hedge. A refusal comes at once, as 503 with the time of the next trial, or as the 502 of an attempt that may have run. client::Failure::Closed tells the end of a connection after the whole request and before any response from other breaks. Operators list and lift at /admin/quarantine.

--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -200,6 +200,16 @@
             )
         }
         Event::LogRestored { era } => format!("the log was restored from a copy: era {era}"),
+        Event::RequestQuarantined {
+            digest,
+            route,
+            crashes,
+        } => format!(
+            "request {digest} of route {route} is refused: targets crashed in {crashes} attempts"
+        ),
+        Event::QuarantineEnded { digest, route } => {
+            format!("request {digest} of route {route} is served again")
+        }
         Event::OwnerEjected { target, birth } => {
             format!("target {target} of birth {birth} does not answer orders")
         }
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -117,6 +117,7 @@
     tokio::task::spawn_local(listener::accept(Rc::clone(&shared), caller, closing));
     feed::start(&shared);
     executor::start(&shared);
+    tokio::task::spawn_local(quarantine::runner::run(Rc::clone(&shared)));
     tokio::task::spawn_local(sweep(Rc::clone(&shared)));
     loop {
         tokio::select! {
--- a/src/gateway/admin.rs
+++ b/src/gateway/admin.rs
@@ -17,6 +17,7 @@
 use crate::gateway::adapter::Topic;
 use crate::gateway::counters;
 use crate::gateway::exchange::explain;
+use crate::gateway::quarantine;
 use crate::gateway::query;
 use crate::gateway::shared::Shared;
 use crate::gateway::status;
@@ -38,7 +39,7 @@
 
 async fn serve(shared: Rc<Shared>, stream: TcpStream) {
     let handler = service::service_fn(move |request: http::Request<Incoming>| {
-        let response = respond(&shared, request.uri()).into_response();
+        let response = respond(&shared, request.method(), request.uri()).into_response();
         async move { Ok::<_, std::convert::Infallible>(response) }
     });
     // Fails when the client disconnects or sends invalid HTTP; nobody else is
@@ -111,7 +112,7 @@
 }
 
 /// Returns the page at `uri`; faulty parameters give a page with status 400.
-fn respond(shared: &Shared, uri: &http::Uri) -> Page {
+fn respond(shared: &Shared, method: &http::Method, uri: &http::Uri) -> Page {
     let path = uri.path();
     let page = match path {
         "/admin/status" => status_page(shared, uri),
@@ -119,6 +120,7 @@
         "/admin/explain" => explain_page(shared, uri),
         "/admin/requests" => requests_page(shared, uri),
         "/admin/burn" => burn_page(shared, uri),
+        "/admin/quarantine" => quarantine_page(shared, method, uri),
         _ => Ok(plain_page(shared, path)),
     };
     page.unwrap_or_else(|findings| {
@@ -155,6 +157,38 @@
     }
 }
 
+/// Returns the requests that are refused since targets crashed in attempts of them. A POST
+/// with `lift=DIGEST` ends the quarantine of one on all daemons.
+fn quarantine_page(
+    shared: &Shared,
+    method: &http::Method,
+    uri: &http::Uri,
+) -> Result<Page, finding::Findings> {
+    let query = query::Query::parse(uri.path(), uri.query(), &["lift"])?;
+    let now = clock::now();
+    let mut quarantine = shared.quarantine.borrow_mut();
+    let Some(text) = query.get("lift") else {
+        return Ok(Page::json(&quarantine.list(now)));
+    };
+    let mut findings = finding::Findings::default();
+    if method != http::Method::POST {
+        findings.add(uri.path(), "the method POST beside lift", method.as_str());
+        return Err(findings);
+    }
+    let digest: quarantine::Digest = match text.parse() {
+        Ok(digest) => digest,
+        Err(error) => {
+            let place = format!("{}, parameter lift: {error}", uri.path());
+            findings.add(place, "a digest", format!("{text:?}"));
+            return Err(findings);
+        }
+    };
+    Ok(match quarantine.lift(digest, now) {
+        true => Page::text(http::StatusCode::OK, "lifted\n"),
+        false => Page::text(http::StatusCode::NOT_FOUND, "no such request is refused\n"),
+    })
+}
+
 fn requests_page(shared: &Shared, uri: &http::Uri) -> Result<Page, finding::Findings> {
     let query = query::Query::parse(uri.path(), uri.query(), &["id"])?;
     Ok(match query.get("id") {
--- a/src/gateway/client.rs
+++ b/src/gateway/client.rs
@@ -71,12 +71,15 @@
     /// The connection broke or the response timed out. The peer may have read the
     /// request.
     Broken,
+    /// The connection ended after the request had been written completely and before any
+    /// byte of a response, as it does if the peer's process ends.
+    Closed,
 }
 
 impl Failure {
     /// Returns whether certainly no byte of the request reached the peer.
     pub fn is_unsent(self) -> bool {
-        self != Self::Broken
+        !matches!(self, Self::Broken | Self::Closed)
     }
 }
 
@@ -422,6 +425,7 @@
         // The HTTP library keeps a request that it began to write, even if the system
         // took no byte of it. A new connection gets no second try.
         let copy = (origin == Origin::Later).then(|| request.clone());
+        let body_bytes = hyper::body::Body::size_hint(request.body()).exact();
         let response = connection.sender.try_send_request(request);
         let response = match with_timeout(timeouts.head, response).await {
             Ok(Ok(response)) => response,
@@ -431,6 +435,7 @@
                 let unsent = error.take_message().or(copy.filter(|_| !is_written));
                 let failure = match unsent.is_some() || !is_written {
                     true => Failure::Unreachable,
+                    false if connection.progress.is_silent(body_bytes) => Failure::Closed,
                     false => Failure::Broken,
                 };
                 return Err((failure, unsent));
--- a/src/gateway/client/wire.rs
+++ b/src/gateway/client/wire.rs
@@ -99,8 +99,12 @@
     written: Cell<bool>,
     /// Number of bytes of [`HEAD_END`] at the end of what was written.
     matched: Cell<usize>,
+    /// Bytes of the request's body that the system took.
+    body: Cell<u64>,
     /// Whether data of the peer was there before the head was written completely.
     early: Cell<bool>,
+    /// Whether a byte of the response has arrived.
+    answered: Cell<bool>,
     /// Position in the response.
     position: RefCell<Position>,
 }
@@ -110,7 +114,9 @@
     pub(super) fn begin(&self) {
         self.written.set(false);
         self.matched.set(0);
+        self.body.set(0);
         self.early.set(false);
+        self.answered.set(false);
         self.position.borrow_mut().begin();
     }
 
@@ -132,6 +138,7 @@
         if bytes.is_empty() {
             return;
         }
+        self.answered.set(true);
         if !self.is_head_written() {
             self.early.set(true);
         }
@@ -149,6 +156,13 @@
         self.early.get()
     }
 
+    /// Returns whether the request with a body of `body_bytes` was written completely, and
+    /// no byte of a response has arrived.
+    pub(super) fn is_silent(&self, body_bytes: Option<u64>) -> bool {
+        let is_complete = body_bytes.is_some_and(|length| self.body.get() >= length);
+        self.is_head_written() && is_complete && !self.answered.get() && !self.early.get()
+    }
+
     fn is_head_written(&self) -> bool {
         self.matched.get() == HEAD_END.len()
     }
@@ -159,9 +173,11 @@
             return;
         }
         self.written.set(true);
-        for byte in bytes {
+        for (index, byte) in bytes.iter().enumerate() {
             let matched = self.matched.get();
             if matched == HEAD_END.len() {
+                let body = (bytes.len() - index) as u64;
+                self.body.set(self.body.get() + body);
                 return;
             }
             self.matched.set(advance(matched, *byte));
--- a/src/gateway/counters.rs
+++ b/src/gateway/counters.rs
@@ -231,6 +231,10 @@
     pub connections: Counter,
     /// Targets that said in an answer that they leave.
     pub leaving: Counter,
+    /// Verdicts on requests that crash targets, trials and ends included.
+    pub quarantine_changes: Counter,
+    /// Requests refused since targets crashed in attempts of them.
+    pub quarantined: Counter,
     /// Pauses that targets asked for.
     pub pauses: Counter,
     route_requests: Family<RouteOutcomeLabels, Counter>,
@@ -263,6 +267,8 @@
             orders: Counter::default(),
             connections: Counter::default(),
             leaving: Counter::default(),
+            quarantine_changes: Counter::default(),
+            quarantined: Counter::default(),
             pauses: Counter::default(),
             route_requests: Family::default(),
             route_seconds: Family::new_with_constructor(new_histogram),
@@ -319,6 +325,16 @@
                 "Targets that said in an answer that they leave",
                 &self.leaving,
             ),
+            (
+                "quarantine_changes",
+                "Verdicts on requests that crash targets, with trials and ends",
+                &self.quarantine_changes,
+            ),
+            (
+                "quarantined",
+                "Requests refused since targets crashed in attempts of them",
+                &self.quarantined,
+            ),
             (
                 "target_pauses",
                 "Pauses that targets asked for",
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -8,7 +8,7 @@
 mod selection;
 pub mod stop;
 
-use std::cell::Cell;
+use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -24,6 +24,7 @@
 use crate::gateway::choice;
 use crate::gateway::counters;
 use crate::gateway::keys;
+use crate::gateway::quarantine;
 use crate::gateway::shared::Shared;
 use crate::gateway::trace;
 
@@ -40,6 +41,9 @@
 /// Time after which a refused caller may retry, in milliseconds.
 const RETRY_AFTER_MS: u64 = 250;
 
+/// Reason for refusing a request that is in quarantine.
+const QUARANTINED: &str = "targets crashed in attempts of this request";
+
 /// Request bodies may take one part in this many of the daemon's memory.
 const BODY_MEMORY_DIVISOR: usize = 4;
 
@@ -71,9 +75,26 @@
     /// Expected processing time at a target of mean speed, in milliseconds.
     pub(crate) work_ms: f64,
     pub(crate) trace: Rc<trace::Trace>,
+    /// Digest by which daemons recognise the same request, once it was needed.
+    digest: OnceCell<quarantine::Digest>,
 }
 
 impl ResolvedRequest {
+    /// Returns the digest by which daemons recognise the same request.
+    pub(crate) fn digest(&self) -> quarantine::Digest {
+        *self.digest.get_or_init(|| {
+            let host = self.headers.get(http::header::HOST);
+            let subject = quarantine::Subject {
+                method: &self.method,
+                host: host.and_then(|host| host.to_str().ok()).unwrap_or_default(),
+                uri: &self.uri,
+                key: self.key,
+                body: &self.body,
+            };
+            subject.digest()
+        })
+    }
+
     /// Logs the end of the request.
     fn log_end(&self, shared: &Shared, status: http::StatusCode) {
         let id = self.headers.get(&shared.adapter.names().request);
@@ -230,6 +251,7 @@
         deadline: start + limit,
         work_ms,
         trace: Rc::clone(&guard.trace),
+        digest: OnceCell::new(),
     })
 }
 
@@ -338,6 +360,9 @@
 ) -> http::Response<Body> {
     let mut state = AttemptState::default();
     loop {
+        if let Some(delay) = shared.quarantined(request) {
+            return state.give_up_for(shared, QUARANTINED, delay);
+        }
         let chosen = match request.key {
             Some(key) => selection::wait_for_owner(shared, request, key, &state).await,
             None => selection::pick_target(shared, request, &state),
@@ -346,6 +371,9 @@
             Ok(attempt) => attempt,
             Err(why) => return state.give_up(shared, request, why),
         };
+        if let Err(delay) = shared.admit(request) {
+            return state.give_up_for(shared, QUARANTINED, delay);
+        }
         let instance = attempt.instance.clone();
         match send_hedged(shared, request, attempt, &mut state, sent).await {
             AttemptResult::Response(response) => {
@@ -445,7 +473,10 @@
         .choice
         .borrow()
         .requests(&other.instance, clock::now());
-    if requests >= f64::from(other.slots()) || !budget::take_hedge(shared, &request.service.name) {
+    if requests >= f64::from(other.slots())
+        || shared.admit(request).is_err()
+        || !budget::take_hedge(shared, &request.service.name)
+    {
         return None;
     }
     counters::increment(&shared.counters.retries);
@@ -484,6 +515,22 @@
         allowed
     }
 
+    /// Returns the last failure if the request may have run, else a refusal that asks the
+    /// caller to come back after `delay` milliseconds.
+    fn give_up_for(self, shared: &Shared, why: &'static str, delay: u64) -> http::Response<Body> {
+        match self.last_failure {
+            Some(response) => {
+                counters::increment(&shared.counters.unknown);
+                response
+            }
+            None => {
+                counters::increment(&shared.counters.refused);
+                counters::increment(&shared.counters.quarantined);
+                response::refusal(why, delay)
+            }
+        }
+    }
+
     /// Returns the last failure if the request may have run, else a refusal.
     fn give_up(
         self,
--- a/src/gateway/exchange/attempt.rs
+++ b/src/gateway/exchange/attempt.rs
@@ -159,7 +159,10 @@
                 guard.finish(choice::AttemptOutcome::Unreachable, None);
                 AttemptResult::Unsent
             }
-            Err(_) => {
+            Err(failure) => {
+                if failure == client::Failure::Closed {
+                    shared.on_closed(request, &self.instance, begin);
+                }
                 guard.finish(choice::AttemptOutcome::Failed, None);
                 AttemptResult::Failed(response::unknown_outcome(
                     502,
@@ -218,6 +221,10 @@
         }
         client::Origin::First | client::Origin::Later => {}
     }
+    shared
+        .quarantine
+        .borrow_mut()
+        .on_response(&guard.instance, guard.begin);
     // Requests ask for no change of the protocol, so that 101 is not an answer to one.
     if response.status().is_informational() {
         return fail(guard, "the target changes the protocol");
@@ -233,6 +240,7 @@
         return AttemptResult::Failed(forward_failure(response));
     }
     guard.finish(choice::AttemptOutcome::Answered(time), load);
+    shared.on_run(request.digest());
     observe_work(shared, request, time, load);
     AttemptResult::Response(forward_response(
         response,
--- a/src/gateway/exchange/explain.rs
+++ b/src/gateway/exchange/explain.rs
@@ -302,6 +302,7 @@
         deadline: now + route.timeout_ms.unwrap_or(exchange::DEFAULT_TIMEOUT_MS),
         work_ms: exchange::expected_work(shared, route),
         trace: Rc::new(trace::Trace::new(now)),
+        digest: std::cell::OnceCell::new(),
     }
 }
 
--- a/src/gateway/executor.rs
+++ b/src/gateway/executor.rs
@@ -162,6 +162,15 @@
                 }
                 return;
             }
+            peers::Message::Quarantine(datagram) => {
+                if let Err(error) = shared.quarantine.borrow_mut().on_message(&datagram, now) {
+                    log::debug!(
+                        "skipped a part of a message of host {}: {error}",
+                        datagram.host
+                    );
+                }
+                return;
+            }
             peers::Message::Leaving(host, targets) => {
                 return on_leaving_reported(&shared, &host, targets);
             }
@@ -560,6 +569,7 @@
         address,
         birth: owner.birth,
     };
+    let began = clock::now();
     let may_write = || machine.borrow_mut().may_write(clock::now(), call);
     let (reuse, timeout) = match kind {
         counters::OrderKind::Grant => (client::Reuse::Pooled, GRANT_TIMEOUT_MS),
@@ -581,6 +591,8 @@
             birth: owner.birth,
         };
         shared.on_notice(&instance, notice);
+        let mut quarantine = shared.quarantine.borrow_mut();
+        quarantine.on_response(&instance, began);
     }
     let reply = order::outcome(
         &*shared.adapter,
--- a/src/gateway/history.rs
+++ b/src/gateway/history.rs
@@ -54,6 +54,22 @@
         /// Era of the log, which rises with each restore.
         era: u64,
     },
+    /// A request is refused by all daemons, since targets crashed in attempts of it.
+    RequestQuarantined {
+        /// Digest of the request, 16 hexadecimal digits.
+        digest: String,
+        /// Name of its route.
+        route: String,
+        /// Instances that crashed.
+        crashes: u32,
+    },
+    /// A request that was refused for crashes of targets is served again.
+    QuarantineEnded {
+        /// Digest of the request, 16 hexadecimal digits.
+        digest: String,
+        /// Name of its route.
+        route: String,
+    },
     /// An owner of keys does not reply to orders, or refuses connections. Only the
     /// coordinator records it, with the offset of the key table.
     #[serde(rename = "owner_silent")]
@@ -74,6 +90,7 @@
             | Self::DomainRestored { .. } => "operator",
             Self::KeyTable { .. } | Self::OwnerEjected { .. } => "table",
             Self::LogRestored { .. } => "targets",
+            Self::RequestQuarantined { .. } | Self::QuarantineEnded { .. } => "none",
         }
     }
 }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -12,6 +12,7 @@
 use crate::finding;
 use crate::gateway::adapter;
 use crate::gateway::choice::{self, RequestCounts};
+use crate::gateway::quarantine;
 use crate::gateway::relay;
 use crate::gateway::shared::Shared;
 use crate::gateway::view;
@@ -190,6 +191,9 @@
     /// with a further field.
     #[serde(rename = "n")]
     Leaving(model::HostName, Vec<(model::TargetName, u64)>),
+    /// What a daemon says about requests that crash targets.
+    #[serde(rename = "x")]
+    Quarantine(quarantine::wire::Datagram),
 }
 
 /// A known daemon.
@@ -270,6 +274,12 @@
         })
     }
 
+    /// Returns the hosts of daemons with a recent heartbeat, this one not included.
+    pub(crate) fn recent_hosts(&self, now: clock::Millis) -> Vec<model::HostName> {
+        let peers = self.recent_peers(now);
+        peers.map(|peer| peer.record.host.clone()).collect()
+    }
+
     /// Returns the number of daemons of `domain` with a recent heartbeat, this one not
     /// counted.
     pub(crate) fn count_recent(&self, domain: &model::DomainName, now: clock::Millis) -> u64 {
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -2,8 +2,8 @@
 //! each other of both.
 //!
 //! A request is refused on all daemons once enough instances have crashed in attempts of it
-//! and no daemon has an answer to it. This module does no I/O and reads no clock. All
-//! tables are bounded; each one names what it drops.
+//! and no daemon has an answer to it. The state does no I/O and reads no clock; `runner` does
+//! both for it. All tables are bounded; each one names what it drops.
 
 mod answers;
 mod breaks;
@@ -11,6 +11,7 @@
 mod digest;
 mod order;
 mod outbox;
+pub(crate) mod runner;
 mod suspects;
 mod verdicts;
 pub mod wire;
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -22,6 +22,7 @@
 use crate::gateway::keys;
 use crate::gateway::notices;
 use crate::gateway::peers;
+use crate::gateway::quarantine;
 use crate::gateway::quota;
 use crate::gateway::recent;
 use crate::gateway::registry;
@@ -73,6 +74,8 @@
     pub choice: RefCell<choice::Table>,
     /// What targets have said of themselves in their answers.
     pub notices: RefCell<notices::Notices>,
+    /// Requests that crash targets.
+    pub quarantine: RefCell<quarantine::Quarantine>,
     /// Distribution of requests among the backends of each route.
     pub distributions: RefCell<catalog::Distributions>,
     /// Mean time in milliseconds that a request of each route takes at a target.
@@ -128,7 +131,10 @@
         socket: UdpSocket,
     ) -> Self {
         let counters = counters::Counters::default();
+        let rules = quarantine::Rules::from(&settings.policy);
+        let host = settings.host.clone();
         Self {
+            quarantine: RefCell::new(quarantine::Quarantine::new(host, rules, clock::now())),
             region: settings.region(&settings.domain).cloned(),
             peers: RefCell::new(peers::Directory::new(settings.host.clone())),
             settings,
