--- a/tests/gateway_coordinator/outage.rs
+++ b/tests/gateway_coordinator/outage.rs
@@ -5,8 +5,14 @@
 use pistachiomoor::gateway::coordinator;
 use pistachiomoor::model;
 
+use super::known;
 use super::rig::{EXTENDED_HOLD_MS, NORMAL_HOLD_MS, Rig, done, grant_of, is_for, ready, services};
 
+/// Timeout of a grant in the executor.
+const GRANT_TIMEOUT_MS: u64 = 700;
+/// Longest time for which a target holds keys after the arrival of a usual grant.
+const HOLD_FROM_ARRIVAL_MS: u64 = 3_062;
+
 /// Number of daemons, the coordinator included.
 const LIVE: u32 = 5;
 
@@ -182,3 +188,63 @@
         worst
     );
 }
+
+/// Guards against two owners of a key when the last grant of an earlier coordinator arrives
+/// shortly before that gives it up.
+#[test]
+fn poll_takeover_grant_on_slow_link() {
+    let mut old = Rig::new(vec![ready("a"), ready("b")]);
+    old.coordinator.on_daemons(LIVE);
+    let orders = old.run(6_000, done);
+    let grants = orders.iter().filter(|(_, order)| is_for(order, "a"));
+    let last = grants.map(|(at, _)| *at).max().unwrap();
+    // The last confirmation is such that a renewal is due as the authority ends.
+    old.run(last + 1_501 - old.now, done);
+    let confirmed = old.now;
+    let end = model::Offset(old.end);
+    old.coordinator
+        .on_unchanged(Millis(confirmed), Millis(confirmed), end, end);
+    old.log_up = false;
+    let orders = old.run(5_000, done);
+    let grants = orders.iter().filter(|(_, order)| is_for(order, "a"));
+    let sent = grants.map(|(at, _)| *at).max().unwrap();
+    assert!(sent < confirmed + coordinator::AUTHORITY_MS);
+    let held = sent + GRANT_TIMEOUT_MS - 10 + HOLD_FROM_ARRIVAL_MS;
+    // Another daemon's record is written just after the last confirmation.
+    let granted = confirmed + 1 + takeover_delay(&[15_000, 15_000, 0, 0], true);
+    let result = (granted >= held).then_some(()).ok_or_else(|| {
+        format!("confirmed {confirmed}, sent {sent}: granted again at {granted}, held until {held}")
+    });
+    known::conclude("outage::poll_takeover_grant_on_slow_link", result);
+}
+
+/// Guards against two owners of a key after a failure domain was cut off for so long that the
+/// daemons on either side no longer count the others as live.
+#[test]
+fn poll_takeover_after_long_cut() {
+    let mut old = Rig::new(vec![ready("a")]);
+    old.coordinator.on_daemons(2);
+    old.run(70_000, done);
+    old.coordinator
+        .on_report(Millis(old.now), "h1".into(), None, 70_000);
+    old.log_up = false;
+    let confirmed = old.now - old.coordinator.confirmed_age(Millis(old.now)).unwrap();
+    let mut held = 0;
+    for _ in 0..2_600 {
+        let now = Millis(old.now);
+        if let Some(outage) = old.coordinator.request_acknowledgement(now) {
+            old.coordinator.on_acknowledged(now, "h1".into(), outage);
+        }
+        for (at, order) in old.run(1, done) {
+            let lease = grant_of(&order).map_or(0, |grant| grant.lease_ms);
+            held = held.max(at + (lease * 100).div_ceil(98));
+        }
+    }
+    // The five daemons on the other side have acknowledged nothing. One takes over 2 s after
+    // the last confirmation.
+    let granted = confirmed + 2_000 + takeover_delay(&[15_000; 4], true);
+    let result = (granted >= held).then_some(()).ok_or_else(|| {
+        format!("confirmed {confirmed}: granted again at {granted}, held until {held}")
+    });
+    known::conclude("outage::poll_takeover_after_long_cut", result);
+}
