--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -9,31 +9,27 @@
 mod breaks;
 mod crashes;
 mod digest;
+mod messages;
 mod order;
 mod outbox;
 pub(crate) mod runner;
 mod suspects;
+mod types;
 mod verdicts;
 pub mod wire;
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::VecDeque;
 use std::sync::Arc;
 
-use serde::{Deserialize, Serialize};
-
 pub use self::digest::{Digest, InvalidDigest, Subject};
-use self::outbox::{Notice, Recipient};
+use self::outbox::Notice;
+pub use self::types::{Admission, Attempt, Break, Event, Fitness, Happening, Listed, Rules, Sizes};
 pub use self::verdicts::Cause;
-use self::verdicts::{Change, State, Verdict};
-use self::wire::At;
+use self::verdicts::{State, Verdict};
 use crate::clock;
 use crate::gateway::choice;
-use crate::gateway::settings;
 use crate::model;
 
-/// Time after which a notice is sent a second time, in milliseconds.
-const REPEAT_MS: u64 = 150;
-
 /// Time from the question for answers until a verdict, in milliseconds: for the question,
 /// its repetition, and an answer from another region.
 const SETTLE_MS: u64 = 400;
@@ -42,182 +38,12 @@
 /// in milliseconds.
 const ROUND_MS: u64 = 1_000;
 
-/// Daemons to which known verdicts are sent in each round.
-const ROUND_HOSTS: usize = 2;
-
-/// Largest number of items in a datagram, about 1.2 KB with usual names of routes.
-const MAX_ITEMS: usize = 20;
-
-/// Verdicts in each message of a round.
-const ROUND_ITEMS: usize = 8;
-
-/// Verdicts of a round that are the newest ones; the others are sent in turn.
-const NEWEST_ITEMS: usize = ROUND_ITEMS / 2;
-
-/// Largest number of verdicts in the answer to a daemon that starts.
-const MAX_ANSWER: usize = 200;
-
-/// Daemons that a daemon asks for verdicts when it starts.
-const ASKED_HOSTS: usize = 3;
-
-/// Interval between these questions, in milliseconds.
-const ASK_INTERVAL_MS: u64 = 200;
-
 /// Time for which a daemon that starts waits for verdicts, in milliseconds.
 const ASK_MS: u64 = 1_000;
 
 /// Events that wait to be taken; bounds memory.
 const MAX_EVENTS: usize = 256;
 
-/// Rules for a verdict.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Rules {
-    /// Instances that crash before a request is refused.
-    pub crashes: u32,
-    /// Time until the first trial, in milliseconds.
-    pub hold_ms: u64,
-}
-
-impl From<&settings::Policy> for Rules {
-    fn from(policy: &settings::Policy) -> Self {
-        Self {
-            crashes: policy.quarantine_crashes,
-            hold_ms: policy.quarantine_time.0,
-        }
-    }
-}
-
-/// An attempt of a request at an instance.
-#[derive(Clone, Debug)]
-pub struct Attempt {
-    /// Digest of the request.
-    pub digest: Digest,
-    /// Name of its route.
-    pub route: Arc<str>,
-    /// Target and its incarnation.
-    pub instance: choice::Instance,
-    /// Begin of the attempt.
-    pub began: clock::Millis,
-}
-
-/// How an attempt ended whose connection broke.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Break {
-    /// The request was written completely.
-    pub written: bool,
-    /// No byte of a response had arrived.
-    pub silent: bool,
-    /// The daemon itself closed the connection: its time was over, its caller left, another
-    /// attempt was faster, or the daemon stops.
-    pub own: bool,
-    /// Whether the instance was fit for requests.
-    pub fitness: Fitness,
-}
-
-impl Break {
-    /// Returns whether the request may have ended the instance.
-    pub fn is_evidence(self) -> bool {
-        self.written && self.silent && !self.own && self.fitness != Fitness::Unfit
-    }
-}
-
-/// Whether an instance was fit for requests when an attempt at it broke.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Fitness {
-    /// It was ready and warm, in a failure domain that is not drained, and had said neither
-    /// that it leaves nor that it wants a pause.
-    Warm,
-    /// The same, but cold: load may have ended it.
-    Cold,
-    /// It was about to end, or was not to get requests.
-    Unfit,
-}
-
-/// Whether an attempt may be sent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Admission {
-    /// It may be sent.
-    Open,
-    /// It may be sent as the trial of a verdict. No other attempt is admitted after it
-    /// unless it is answered.
-    Trial,
-    /// It must not be sent. The next trial is due in this time in milliseconds.
-    Refused(u64),
-}
-
-/// What happened to a verdict.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Happening {
-    /// The request is refused from now on, after this number of crashes.
-    Quarantined(u32),
-    /// A daemon takes a trial.
-    Trial,
-    /// The request is served again.
-    Ended(Cause),
-}
-
-/// An event for operators.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Event {
-    /// Digest of the request.
-    pub digest: Digest,
-    /// Name of its route.
-    pub route: Arc<str>,
-    /// What happened.
-    pub happening: Happening,
-}
-
-/// A verdict as shown to operators.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Listed {
-    /// Digest of the request, 16 hexadecimal digits.
-    pub digest: String,
-    /// Name of its route.
-    pub route: Arc<str>,
-    /// Instances that had crashed when the verdict was passed.
-    pub crashes: u32,
-    /// Age of the verdict in milliseconds.
-    pub since: u64,
-    /// Time until the next trial in milliseconds, 0 if one is due; absent if the verdict
-    /// has ended.
-    pub trial: Option<u64>,
-    /// Trials so far.
-    pub trials: u32,
-    /// Why the verdict ended; absent if it has not.
-    pub ended: Option<Cause>,
-    /// Requests that this daemon refused.
-    pub refused: u64,
-}
-
-/// Numbers of entries in the tables.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Sizes {
-    /// Requests that were answered lately.
-    pub answers: usize,
-    /// Breaks that wait for proof.
-    pub breaks: usize,
-    /// Requests with crashes.
-    pub crashes: usize,
-    /// Suspects.
-    pub suspects: usize,
-    /// Verdicts, those that ended included.
-    pub verdicts: usize,
-    /// Notices that wait to be sent, and questions that wait for answers.
-    pub queued: usize,
-}
-
-impl Sizes {
-    /// Largest numbers of entries.
-    pub const MAX: Self = Self {
-        answers: 2 * answers::HALF,
-        breaks: breaks::CAPACITY,
-        crashes: crashes::CAPACITY,
-        suspects: suspects::CAPACITY,
-        verdicts: verdicts::CAPACITY,
-        queued: outbox::CAPACITY + crashes::CAPACITY,
-    };
-}
-
 /// What one daemon knows of requests that crash targets.
 #[derive(Debug)]
 pub struct Quarantine {
@@ -451,65 +277,6 @@
         self.events.drain(..).collect()
     }
 
-    /// Handles the message of another daemon.
-    ///
-    /// # Errors
-    /// Returns why the first invalid part was skipped. The other parts have their effect.
-    pub fn on_message(
-        &mut self,
-        message: &wire::Datagram,
-        now: clock::Millis,
-    ) -> Result<(), wire::Invalid> {
-        let host = &message.host;
-        if host == self.order.own() {
-            return Ok(());
-        }
-        let mut result = Ok(());
-        for item in &message.items {
-            result = result.and(self.on_item(host, item, now));
-        }
-        result
-    }
-
-    fn on_item(
-        &mut self,
-        host: &model::HostName,
-        item: &wire::Item,
-        now: clock::Millis,
-    ) -> Result<(), wire::Invalid> {
-        match item {
-            wire::Item::Crash(crash) => {
-                let digest = Digest(crash.digest);
-                let known = crashes::Crash::try_from(At(now, (crash, host)))?;
-                self.add_crash(digest, &crash.route, known, now);
-            }
-            wire::Item::Suspect(_, age) if *age > crashes::KEPT_MS => {
-                return Err(wire::Invalid::Age);
-            }
-            wire::Item::Suspect(digest, age) => {
-                self.on_suspect(host, Digest(*digest), now - *age, now);
-            }
-            wire::Item::Answered(digest, age) => {
-                self.on_answer_reported(Digest(*digest), now - *age, now);
-            }
-            wire::Item::Verdict(verdict) => {
-                let new = Verdict::try_from(At(now, verdict))?;
-                self.on_verdict(Digest(verdict.digest), new, now);
-            }
-            wire::Item::Ask => {
-                let to = Recipient::Host(host.clone());
-                self.outbox.add(now, to, Notice::Known);
-                let newest = self.verdicts.newest().into_iter();
-                for (digest, _) in newest.take(MAX_ANSWER) {
-                    let to = Recipient::Host(host.clone());
-                    self.outbox.add(now, to, Notice::Verdict(digest));
-                }
-            }
-            wire::Item::Known => self.known = true,
-        }
-        Ok(())
-    }
-
     /// Returns the time of this daemon's last answer to a request, if it shows that the
     /// request did not cause a crash at `crashed`.
     fn cleared_at(&self, digest: Digest, crashed: clock::Millis) -> Option<clock::Millis> {
@@ -517,52 +284,6 @@
         last.filter(|at| answers::clears(*at, crashed))
     }
 
-    /// Handles another daemon's question for answers to a request.
-    fn on_suspect(
-        &mut self,
-        host: &model::HostName,
-        digest: Digest,
-        crashed: clock::Millis,
-        now: clock::Millis,
-    ) {
-        let to = Recipient::Host(host.clone());
-        if self.verdicts.is_held(digest) {
-            self.outbox.add(now, to, Notice::Verdict(digest));
-        } else if let Some(at) = self.cleared_at(digest, crashed) {
-            self.outbox.add(now, to, Notice::Answered(digest, at));
-        } else {
-            self.suspects.add(digest, host, now);
-        }
-    }
-
-    /// Handles another daemon's report that an attempt was answered, which ended at `at`.
-    fn on_answer_reported(&mut self, digest: Digest, at: clock::Millis, now: clock::Millis) {
-        self.crashes.on_answered(digest, at, self.rules.crashes);
-        let entry = self.verdicts.get(digest);
-        let is_cleared = |entry: &verdicts::Entry| {
-            entry.verdict.trials == 0 && answers::clears(at, entry.verdict.crashed)
-        };
-        if entry.is_some_and(is_cleared) {
-            self.end(digest, Cause::Answered, now);
-        }
-    }
-
-    /// Merges a version of a verdict, and ends it if an answer here shows that the request
-    /// did not cause its last crash.
-    fn on_verdict(&mut self, digest: Digest, new: Verdict, now: clock::Millis) {
-        let is_cleared = new.trials == 0 && self.cleared_at(digest, new.crashed).is_some();
-        let version = new.clone();
-        match self.verdicts.merge(digest, new, now) {
-            Change::None => return,
-            Change::Replaced => {}
-            Change::Renumbered => self.broadcast_twice(&Notice::Verdict(digest), now),
-        }
-        self.on_changed(digest, &version);
-        if is_cleared {
-            self.end(digest, Cause::Answered, now);
-        }
-    }
-
     /// Records that the instance of a break has ended, and reports the crash.
     fn on_proven(&mut self, proven: breaks::Break, now: clock::Millis) {
         let crash = crashes::Crash {
@@ -706,124 +427,4 @@
             happening,
         });
     }
-
-    fn tell_twice(&mut self, host: model::HostName, notice: &Notice, now: clock::Millis) {
-        if host == *self.order.own() {
-            return;
-        }
-        for at in [now, now + REPEAT_MS] {
-            let to = Recipient::Host(host.clone());
-            self.outbox.add(at, to, notice.clone());
-        }
-    }
-
-    fn broadcast_twice(&mut self, notice: &Notice, now: clock::Millis) {
-        if self.order.others().is_empty() {
-            return;
-        }
-        for at in [now, now + REPEAT_MS] {
-            self.outbox.add(at, Recipient::All, notice.clone());
-        }
-    }
-
-    /// Passes verdicts that are due, drops what is too old, and returns the messages to be
-    /// sent now, each with its host; to be called every 25 ms or so.
-    pub fn take_messages(&mut self, now: clock::Millis) -> Vec<(model::HostName, wire::Datagram)> {
-        while let Some((_, digest)) = self.settling.pop_front_if(|(due, _)| *due <= now) {
-            self.decide(digest, now);
-        }
-        self.ask(now);
-        let mut round = BTreeMap::new();
-        if now >= self.next_round {
-            self.next_round = now + ROUND_MS;
-            self.breaks.expire(now);
-            self.crashes.expire(now);
-            self.suspects.expire(now);
-            self.verdicts.expire(now);
-            round = self.next_round_notices();
-        }
-        let mut due = self.outbox.take(self.order.others(), now);
-        for (host, notices) in round {
-            due.entry(host).or_default().extend(notices);
-        }
-        let mut messages = Vec::new();
-        for (host, notices) in due {
-            let items: Vec<_> = notices
-                .iter()
-                .filter_map(|notice| self.item(notice, now))
-                .collect();
-            for items in items.chunks(MAX_ITEMS) {
-                let datagram = wire::Datagram {
-                    host: self.order.own().clone(),
-                    items: items.to_vec(),
-                };
-                messages.push((host.clone(), datagram));
-            }
-        }
-        messages
-    }
-
-    /// Asks other daemons for their verdicts until one has answered.
-    fn ask(&mut self, now: clock::Millis) {
-        let others = self.order.others();
-        if self.known || others.is_empty() || now < self.next_ask || now >= self.ask_until {
-            return;
-        }
-        self.next_ask = now + ASK_INTERVAL_MS;
-        for host in hosts_of_round(others.iter(), self.round, ASKED_HOSTS) {
-            self.outbox.add(now, Recipient::Host(host), Notice::Ask);
-        }
-        self.round = self.round.wrapping_add(1);
-    }
-
-    /// Returns the verdicts of the next round for each of its hosts.
-    fn next_round_notices(&mut self) -> BTreeMap<model::HostName, Vec<Notice>> {
-        let newest: Vec<_> = self.verdicts.newest().into_iter().map(|(d, _)| d).collect();
-        if newest.is_empty() {
-            return BTreeMap::new();
-        }
-        self.round = self.round.wrapping_add(1);
-        let (first, rest) = newest.split_at(newest.len().min(NEWEST_ITEMS));
-        let mut digests = first.to_vec();
-        let skipped = self.round.wrapping_mul(ROUND_ITEMS - NEWEST_ITEMS) % rest.len().max(1);
-        let in_turn = rest.iter().cycle().skip(skipped);
-        digests.extend(in_turn.take(rest.len().min(ROUND_ITEMS - NEWEST_ITEMS)));
-        let hosts = hosts_of_round(self.order.others().iter(), self.round, ROUND_HOSTS);
-        let notices = digests.into_iter().map(Notice::Verdict);
-        let notices: Vec<_> = notices.collect();
-        let round = hosts.into_iter().map(|host| (host, notices.clone()));
-        round.collect()
-    }
-
-    /// Returns a notice as part of a message; none for a verdict that is no longer kept.
-    fn item(&self, notice: &Notice, now: clock::Millis) -> Option<wire::Item> {
-        Some(match notice {
-            Notice::Crash(digest, route, crash) => {
-                wire::Item::Crash(At(now, (*digest, route, crash)).into())
-            }
-            Notice::Suspect(digest, at) => wire::Item::Suspect(digest.0, now.since(*at)),
-            Notice::Answered(digest, at) => wire::Item::Answered(digest.0, now.since(*at)),
-            Notice::Verdict(digest) => {
-                let verdict = &self.verdicts.get(*digest)?.verdict;
-                wire::Item::Verdict(At(now, (*digest, verdict)).into())
-            }
-            Notice::Ask => wire::Item::Ask,
-            Notice::Known => wire::Item::Known,
-        })
-    }
-}
-
-/// Returns up to `count` hosts, other ones in each round until all had their turn.
-fn hosts_of_round<'h>(
-    hosts: impl ExactSizeIterator<Item = &'h model::HostName> + Clone,
-    round: usize,
-    count: usize,
-) -> Vec<model::HostName> {
-    let total = hosts.len();
-    if total == 0 {
-        return Vec::new();
-    }
-    let skipped = round.wrapping_mul(count) % total;
-    let in_turn = hosts.cycle().skip(skipped).take(count.min(total));
-    in_turn.cloned().collect()
 }
--- a/tests/gateway_quarantine/world.rs
+++ b/tests/gateway_quarantine/world.rs
@@ -1,13 +1,18 @@
 //! Model of callers, daemons, targets and network, in steps of a millisecond.
 
+#[path = "world/callers.rs"]
+mod callers;
+#[path = "world/daemons.rs"]
+mod daemons;
+#[path = "world/targets.rs"]
+mod targets;
+
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::AtomicU64;
 
 use pistachiomoor::clock::Millis;
 use pistachiomoor::gateway::choice::Instance;
-use pistachiomoor::gateway::quarantine::{
-    Admission, Attempt, Break, Digest, Fitness, Quarantine, Rules, Sizes, wire,
-};
+use pistachiomoor::gateway::quarantine::{Digest, Quarantine, Rules, wire};
 use pistachiomoor::model::HostName;
 
 use crate::oracle::Oracle;
@@ -35,18 +40,8 @@
 const START_MS: u64 = 500;
 /// Time for which a target is cold after its start.
 const COLD_MS: u64 = 1_500;
-/// Time until the list shows a new instance.
-const LIST_LAG_MS: u64 = 600;
-/// Time since the last heartbeat after which a daemon does not count as live.
-const LIVE_MS: u64 = 2_500;
-/// Targets that one request is sent to.
-const MAX_ATTEMPTS: u32 = 3;
-/// Requests in progress at a target.
-const MAX_RUNNING: usize = 10;
 /// Reading of the first daemon's clock at time 0. The others differ.
 const CLOCK_MS: u64 = 5_000_000;
-/// Largest datagram that is sent.
-const MAX_DATAGRAM_BYTES: usize = 1_400;
 
 /// Events over all cases.
 pub static CRASHES: AtomicU64 = AtomicU64::new(0);
@@ -266,158 +261,6 @@
         }
     }
 
-    /// Ends all targets of a failure domain at once.
-    pub fn lose_domain(&mut self, domain: usize) {
-        for target in (domain..TARGETS).step_by(DOMAINS) {
-            self.crash(target);
-        }
-    }
-
-    /// Resets the connections of a daemon to the targets of a failure domain, which go on,
-    /// and refuses further ones for `ms`.
-    pub fn reset(&mut self, daemon: usize, domain: usize, ms: u64) {
-        for target in (domain..TARGETS).step_by(DOMAINS) {
-            self.reset_link(daemon, target, ms);
-        }
-    }
-
-    fn reset_link(&mut self, daemon: usize, target: usize, ms: u64) {
-        let running = std::mem::take(&mut self.targets[target].running);
-        let (broken, rest): (Vec<_>, Vec<_>) = running
-            .into_iter()
-            .partition(|running| running.daemon == daemon);
-        self.targets[target].running = rest;
-        for running in broken {
-            RESETS.fetch_add(1, Ordering::Relaxed);
-            // A deadly one goes on: the target runs it to its end in any case.
-            if self.deadly && matches!(running.request, Request::Deadly(_)) {
-                self.targets[target].running.push(running);
-            } else {
-                self.at(0, Event::End(target, running, false));
-            }
-        }
-        let until = self.time + ms;
-        self.refusing.insert((daemon, target), until);
-    }
-
-    fn crash(&mut self, target: usize) {
-        if !self.targets[target].up {
-            return;
-        }
-        CRASHES.fetch_add(1, Ordering::Relaxed);
-        let down = 2_000 + self.draw(2_000);
-        let state = &mut self.targets[target];
-        state.up = false;
-        state.down_until = self.time + down;
-        for running in std::mem::take(&mut state.running) {
-            let delay = 1 + self.draw(12);
-            if !matches!(running.request, Request::Deadly(_)) {
-                INNOCENT_BREAKS.fetch_add(1, Ordering::Relaxed);
-            }
-            self.at(delay, Event::End(target, running, false));
-        }
-    }
-
-    /// Chooses a target, and sends a request to it if the daemon admits that.
-    fn attempt(&mut self, daemon: usize, request: Request, mut tried: Vec<usize>) {
-        if !self.serves(daemon) || tried.len() as u32 >= MAX_ATTEMPTS {
-            return;
-        }
-        let digest = request.digest();
-        let now = self.now(daemon);
-        if self.daemons[daemon]
-            .quarantine
-            .refusal(digest, now)
-            .is_some()
-        {
-            return self.on_refused(request);
-        }
-        // One attempt in ten goes to a cold target, if there is one.
-        let cold = self.draw(10) == 0;
-        let fits = |world: &Self, target: usize| {
-            let state = &world.targets[target];
-            state.up
-                && state.listed == state.birth
-                && !tried.contains(&target)
-                && state.running.len() < MAX_RUNNING
-        };
-        let open: Vec<_> = (0..TARGETS).filter(|t| fits(self, *t)).collect();
-        let (warm, rest): (Vec<_>, Vec<_>) = open.into_iter().partition(|t| self.is_warm(*t));
-        let chosen = if cold && !rest.is_empty() { rest } else { warm };
-        if chosen.is_empty() {
-            return;
-        }
-        let target = chosen[self.draw(chosen.len() as u64) as usize];
-        match self.daemons[daemon].quarantine.admit(digest, now) {
-            Admission::Refused(_) => return self.on_refused(request),
-            Admission::Open | Admission::Trial => {}
-        }
-        if let Request::Deadly(index) = request
-            && self.deadly
-        {
-            let time = self.time;
-            self.oracles[index].on_send(time);
-        }
-        tried.push(target);
-        let run = 5 + self.draw(75);
-        let running = Running {
-            request,
-            daemon,
-            start: self.daemons[daemon].start,
-            tried,
-            birth: self.targets[target].birth,
-            began: self.time,
-            ends: self.time + run,
-            warm: self.is_warm(target),
-        };
-        self.targets[target].running.push(running);
-    }
-
-    fn on_refused(&self, request: Request) {
-        assert!(
-            !matches!(request, Request::Popular(_)),
-            "a popular request is refused at {}",
-            self.time
-        );
-    }
-
-    fn end(&mut self, target: usize, running: Running, answered: bool) {
-        let daemon = running.daemon;
-        if running.start != self.daemons[daemon].start {
-            return;
-        }
-        let now = self.now(daemon);
-        let offset = self.daemons[daemon].offset;
-        let digest = running.request.digest();
-        let instance = instance(target, running.birth);
-        let began = Millis(running.began + offset);
-        let quarantine = &mut self.daemons[daemon].quarantine;
-        if answered {
-            quarantine.on_response(&instance, began);
-            quarantine.on_answered(digest, now);
-            return;
-        }
-        let attempt = Attempt {
-            digest,
-            route: "bookings".into(),
-            instance,
-            began,
-        };
-        let end = Break {
-            written: true,
-            silent: true,
-            own: false,
-            fitness: match running.warm {
-                true => Fitness::Warm,
-                false => Fitness::Cold,
-            },
-        };
-        quarantine.on_broken(attempt, end, now);
-        if running.request != Request::Deadly(1) {
-            self.at(1, Event::Attempt(daemon, running.request, running.tried));
-        }
-    }
-
     fn handle(&mut self, event: Event) {
         match event {
             Event::Datagram(daemon, bytes) if self.runs(daemon) => {
@@ -448,130 +291,6 @@
         }
     }
 
-    fn step_targets(&mut self) {
-        let time = self.time;
-        for index in 0..TARGETS {
-            let target = &mut self.targets[index];
-            if !target.up && time >= target.down_until {
-                (target.up, target.birth) = (true, time);
-            }
-            if target.up && time >= target.birth + LIST_LAG_MS {
-                target.listed = target.birth;
-            }
-            let ended = target.running.iter().filter(|running| running.ends <= time);
-            let ended: Vec<_> = ended.cloned().collect();
-            target.running.retain(|running| running.ends > time);
-            for running in ended {
-                match running.request {
-                    Request::Deadly(deadly) if self.deadly => {
-                        self.targets[index].running.push(running);
-                        self.oracles[deadly].on_crash(time);
-                        self.crash(index);
-                    }
-                    _ if self.targets[index].up => {
-                        let delay = 1 + self.draw(3);
-                        self.at(delay, Event::End(index, running, true));
-                    }
-                    _ => {
-                        let delay = 1 + self.draw(12);
-                        self.at(delay, Event::End(index, running, false));
-                    }
-                }
-            }
-        }
-    }
-
-    fn step_callers(&mut self) {
-        for index in 0..DEADLY {
-            if self.time >= self.next_deadly[index] {
-                let pause = 1 + self.draw(2 * self.deadly_ms);
-                self.next_deadly[index] = self.time + pause;
-                let daemon = self.draw(DAEMONS as u64) as usize;
-                self.attempt(daemon, Request::Deadly(index), Vec::new());
-            }
-        }
-        for daemon in 0..DAEMONS {
-            if self.draw(7) == 0 {
-                let popular = self.draw(POPULAR);
-                self.attempt(daemon, Request::Popular(popular), Vec::new());
-            }
-            if self.draw(30) == 0 {
-                self.varied += 1;
-                self.attempt(daemon, Request::Varied(self.varied), Vec::new());
-            }
-        }
-    }
-
-    fn step_daemon(&mut self, daemon: usize) {
-        let now = self.now(daemon);
-        let round = self.time + 7 * daemon as u64;
-        if round.is_multiple_of(250) {
-            for other in 0..DAEMONS {
-                let link = (daemon.min(other), daemon.max(other));
-                if other != daemon && self.runs(other) && !self.split.contains(&link) {
-                    let (time, lost) = (self.time, self.draw(100) < self.loss);
-                    if !lost {
-                        self.daemons[daemon].heard[other] = time;
-                    }
-                }
-            }
-            let heard = self.daemons[daemon].heard;
-            let live = (0..DAEMONS).filter(|other| heard[*other] + LIVE_MS > self.time);
-            let live: Vec<_> = live.map(host).collect();
-            self.daemons[daemon].quarantine.on_daemons(live, now);
-        }
-        if round.is_multiple_of(50) {
-            let targets = &self.targets;
-            let is_current = |instance: &Instance| {
-                let target = (0..TARGETS).find(|t| name(*t) == instance.target.as_str());
-                targets[target.unwrap()].listed <= instance.birth
-            };
-            self.daemons[daemon].quarantine.on_list(is_current, now);
-        }
-        if !round.is_multiple_of(25) {
-            return;
-        }
-        for instance in self.daemons[daemon].quarantine.take_probes(now) {
-            let (began, delay) = (self.time, 1 + self.draw(12));
-            self.at(delay, Event::Probe(daemon, instance, began));
-        }
-        for (to, message) in self.daemons[daemon].quarantine.take_messages(now) {
-            let bytes = rmp_serde::to_vec(&message).unwrap();
-            assert!(bytes.len() <= MAX_DATAGRAM_BYTES, "{} bytes", bytes.len());
-            let other = (0..DAEMONS).find(|other| host(*other) == to).unwrap();
-            let link = (daemon.min(other), daemon.max(other));
-            if self.split.contains(&link) || self.draw(100) < self.loss {
-                continue;
-            }
-            let late = self.draw(100) < self.late;
-            let delay = 1 + self.draw(if late { 1_000 } else { 25 });
-            if self.draw(20) == 0 {
-                self.at(delay + 300, Event::Datagram(other, bytes.clone()));
-            }
-            self.at(delay, Event::Datagram(other, bytes));
-        }
-        self.check(daemon);
-    }
-
-    fn check(&mut self, daemon: usize) {
-        let time = self.time;
-        let quarantine = &mut self.daemons[daemon].quarantine;
-        for popular in 0..POPULAR {
-            let digest = Request::Popular(popular).digest();
-            let held = quarantine.is_quarantined(digest);
-            assert!(!held, "popular request {digest} is quarantined at {time}");
-        }
-        VERDICTS.fetch_add(quarantine.take_events().len() as u64, Ordering::Relaxed);
-        let (sizes, max) = (quarantine.sizes(), Sizes::MAX);
-        let fits = sizes.answers <= max.answers
-            && sizes.breaks <= max.breaks
-            && sizes.crashes <= max.crashes
-            && sizes.suspects <= max.suspects
-            && sizes.verdicts <= max.verdicts
-            && sizes.queued <= max.queued;
-        assert!(fits, "{sizes:?}");
-    }
-
     pub fn run(&mut self, ms: u64) {
         for _ in 0..ms {
             self.time += 1;
