--- a/tests/gateway_quarantine/bounds.rs
+++ b/tests/gateway_quarantine/bounds.rs
@@ -4,7 +4,7 @@
 use pistachiomoor::gateway::quarantine::{Digest, Quarantine, Sizes};
 use pistachiomoor::model::HostName;
 
-use crate::rig::{CRASHED, DEADLY, RULES, alone, at, attempt, crash, instance};
+use crate::rig::{CRASHED, CRASHING, RULES, alone, at, attempt, crash, instance};
 
 /// Guards against memory that grows with the bodies that callers vary, with targets that
 /// crash, or with what other daemons send, and against such a flood that displaces a
@@ -16,7 +16,7 @@
     for number in 1..=2 {
         crash(
             &mut quarantine,
-            DEADLY,
+            CRASHING,
             number,
             100 * number - 50,
             100 * number,
@@ -69,10 +69,10 @@
     let sizes = quarantine.sizes();
     let full = [sizes.breaks, sizes.crashes, sizes.suspects, sizes.verdicts];
     assert_eq!(full, [1_024, 4_096, 2_048, 1_024]);
-    crash(&mut quarantine, DEADLY, 3, 22_000, 22_010);
+    crash(&mut quarantine, CRASHING, 3, 22_000, 22_010);
     quarantine.take_messages(at(22_500));
     quarantine.take_messages(at(23_000));
-    assert!(quarantine.is_quarantined(DEADLY));
+    assert!(quarantine.is_quarantined(CRASHING));
 }
 
 /// Returns the bytes that a daemon among `count` sends in ten minutes, in which `verdicts`
--- a/tests/gateway_quarantine/daemons.rs
+++ b/tests/gateway_quarantine/daemons.rs
@@ -4,7 +4,7 @@
 use pistachiomoor::gateway::quarantine::wire::{self, Item};
 use pistachiomoor::model::HostName;
 
-use crate::rig::{DEADLY, RULES, alone, at, crash};
+use crate::rig::{CRASHING, RULES, alone, at, crash};
 
 /// Guards against several daemons that take a trial at the same time, and against a daemon
 /// that takes one at the end of its turn, before the next one knows of it.
@@ -12,7 +12,7 @@
 fn admit_turns() {
     let hosts: Vec<HostName> = (0..5).map(|n| format!("h{n}").as_str().into()).collect();
     let verdict = Item::Verdict(wire::Verdict {
-        digest: DEADLY.0,
+        digest: CRASHING.0,
         route: "bookings".into(),
         crashes: 3,
         number: 1,
@@ -30,9 +30,9 @@
         let mut quarantine = Quarantine::new(host.clone(), RULES, at(0));
         quarantine.on_daemons(hosts.iter().cloned(), at(0));
         quarantine.on_message(&message, at(0)).unwrap();
-        let begins = (1_000..26_000).find(|ms| quarantine.refusal(DEADLY, at(*ms)).is_none());
+        let begins = (1_000..26_000).find(|ms| quarantine.refusal(CRASHING, at(*ms)).is_none());
         let begins = begins.expect("each daemon has a turn");
-        let ends = (begins..26_000).find(|ms| quarantine.refusal(DEADLY, at(*ms)).is_some());
+        let ends = (begins..26_000).find(|ms| quarantine.refusal(CRASHING, at(*ms)).is_some());
         assert_eq!(ends.map_or(4_000, |ends| ends - begins), 4_000);
         turns.push(begins);
     }
@@ -139,7 +139,7 @@
     for number in 1..=3 {
         crash(
             &mut daemons[number as usize],
-            DEADLY,
+            CRASHING,
             number,
             200 * number,
             200 * number + 10,
@@ -149,7 +149,7 @@
     for now in [900, 1_000, 1_100, 1_250] {
         exchange(&mut daemons, now);
     }
-    assert!(daemons.iter().all(|daemon| daemon.is_quarantined(DEADLY)));
+    assert!(daemons.iter().all(|daemon| daemon.is_quarantined(CRASHING)));
     let hosts: Vec<HostName> = (0..20).map(|n| format!("h{n}").as_str().into()).collect();
     daemons[7] = Quarantine::new(hosts[7].clone(), RULES, at(2_000));
     assert!(!daemons[7].is_settled(at(2_000)));
@@ -158,19 +158,19 @@
         exchange(&mut daemons, now);
     }
     assert!(daemons[7].is_settled(at(2_030)));
-    assert!(daemons[7].is_quarantined(DEADLY));
-    assert!(daemons[3].lift(DEADLY, at(3_000)));
+    assert!(daemons[7].is_quarantined(CRASHING));
+    assert!(daemons[3].lift(CRASHING, at(3_000)));
     exchange(&mut daemons, 3_000);
     exchange(&mut daemons, 3_001);
-    assert!(!daemons.iter().any(|daemon| daemon.is_quarantined(DEADLY)));
+    assert!(!daemons.iter().any(|daemon| daemon.is_quarantined(CRASHING)));
 }
 
 /// Guards against crashes that are lost with the collectors that knew them.
 #[test]
 fn daemons_lost_collectors() {
     let mut daemons = together(8);
-    crash(&mut daemons[0], DEADLY, 1, 100, 110);
-    crash(&mut daemons[1], DEADLY, 2, 200, 210);
+    crash(&mut daemons[0], CRASHING, 1, 100, 110);
+    crash(&mut daemons[1], CRASHING, 2, 200, 210);
     exchange(&mut daemons, 240);
     exchange(&mut daemons, 400);
     // Both collectors are lost, unless they are the reporters, who know their own crash.
@@ -188,13 +188,13 @@
             daemon.on_daemons(live.iter().cloned(), at(3_000));
         }
     }
-    crash(&mut daemons[0], DEADLY, 3, 3_000, 3_010);
+    crash(&mut daemons[0], CRASHING, 3, 3_000, 3_010);
     for now in [3_040, 3_050, 3_200, 3_500, 3_700, 3_900] {
         exchange(&mut daemons, now);
     }
     for (number, daemon) in daemons.iter().enumerate() {
         assert!(
-            lost.contains(&number) || daemon.is_quarantined(DEADLY),
+            lost.contains(&number) || daemon.is_quarantined(CRASHING),
             "{number}"
         );
     }
--- a/tests/gateway_quarantine/history.rs
+++ b/tests/gateway_quarantine/history.rs
@@ -69,14 +69,14 @@
 
     fn init_test(seed: &u64) -> world::World {
         let mut world = world::World::new(*seed);
-        world.deadly_ms = [30, 300, 1_500, 6_000][(seed % 4) as usize];
+        world.crashing_ms = [30, 300, 1_500, 6_000][(seed % 4) as usize];
         world
     }
 
     fn apply(mut world: world::World, _: &u64, (step, ms): (Step, u64)) -> world::World {
         match step {
             Step::Run => {}
-            Step::Pace(ms) => world.deadly_ms = ms,
+            Step::Pace(ms) => world.crashing_ms = ms,
             Step::Split(a, b, split) => world.set_split(a, b, split),
             Step::Cut(daemon) => (0..world::DAEMONS).for_each(|n| world.set_split(daemon, n, true)),
             Step::Network(loss, late) => (world.loss, world.late) = (loss, late),
@@ -91,13 +91,17 @@
 
     fn teardown(mut world: world::World) {
         world.heal();
-        world.deadly_ms = 300;
+        world.crashing_ms = 300;
         world.run(15_000);
-        for deadly in 0..world::DEADLY {
-            assert_eq!(world.refusing(deadly), world::DAEMONS, "request {deadly}");
+        for crashing in 0..world::CRASHING {
+            assert_eq!(
+                world.refusing(crashing),
+                world::DAEMONS,
+                "request {crashing}"
+            );
         }
         // An operator ends one; the other ends by a trial, once targets answer it.
-        world.deadly = false;
+        world.crashing = false;
         assert!(world.lift(1, 1));
         world.run(1_000);
         assert_eq!(world.refusing(1), 0);
@@ -112,7 +116,7 @@
     set.map_or(default, |text| text.parse().expect(name))
 }
 
-/// Guards against a deadly request that daemons in touch send to targets more often than
+/// Guards against a request that crashes targets that daemons in touch send to targets more often than
 /// the rule allows, against a popular request that is refused because targets crash beside
 /// it, against memory above the bounds, and against verdicts that do not end, under lost
 /// and late datagrams, partitions, restarts, lost failure domains and links that reset.
@@ -155,18 +159,18 @@
 fn daemons_trials() {
     for seed in 1..=4 {
         let mut world = world::World::new(seed);
-        world.deadly_ms = 100;
+        world.crashing_ms = 100;
         world.run(10_000);
         for skip in [world::HOLD_MS, 12 * world::HOLD_MS] {
-            let before: Vec<_> = (0..world::DEADLY)
-                .map(|deadly| world.oracle(deadly).sends())
+            let before: Vec<_> = (0..world::CRASHING)
+                .map(|crashing| world.oracle(crashing).sends())
                 .collect();
             world.skip(skip);
             world.run(40_000);
-            for (deadly, before) in before.into_iter().enumerate() {
-                let sends = world.oracle(deadly).sends();
+            for (crashing, before) in before.into_iter().enumerate() {
+                let sends = world.oracle(crashing).sends();
                 assert_eq!(sends, before + 1, "seed {seed}, after {skip} ms");
-                assert_eq!(world.refusing(deadly), world::DAEMONS);
+                assert_eq!(world.refusing(crashing), world::DAEMONS);
             }
         }
     }
--- a/tests/gateway_quarantine/oracle.rs
+++ b/tests/gateway_quarantine/oracle.rs
@@ -10,7 +10,7 @@
 /// Time that daemons have to learn of a crash, in milliseconds.
 const CONTACT_MS: u64 = 3_000;
 
-/// What happened to one deadly request.
+/// What happened to one crashing request.
 #[derive(Clone, Debug, Default)]
 pub struct Oracle {
     crashes: Vec<u64>,
--- a/tests/gateway_quarantine/rig.rs
+++ b/tests/gateway_quarantine/rig.rs
@@ -20,7 +20,7 @@
 const START: u64 = 10_000_000;
 
 /// Digest of the request that crashes targets.
-pub const DEADLY: Digest = Digest(0xdead);
+pub const CRASHING: Digest = Digest(0xdead);
 
 pub fn at(ms: u64) -> Millis {
     Millis(START + ms)
@@ -58,13 +58,13 @@
     for number in 1..=3 {
         crash(
             &mut quarantine,
-            DEADLY,
+            CRASHING,
             number,
             100 * number - 50,
             100 * number,
         );
     }
     quarantine.take_messages(at(1_000));
-    assert!(quarantine.is_quarantined(DEADLY));
+    assert!(quarantine.is_quarantined(CRASHING));
     quarantine
 }
--- a/tests/gateway_quarantine/verdicts.rs
+++ b/tests/gateway_quarantine/verdicts.rs
@@ -4,7 +4,7 @@
     Admission, Break, Cause, Digest, Fitness, Happening, Rules,
 };
 
-use crate::rig::{CRASHED, DEADLY, RULES, alone, at, attempt, crash, quarantined};
+use crate::rig::{CRASHED, CRASHING, RULES, alone, at, attempt, crash, quarantined};
 
 /// Guards against a verdict after fewer crashes than set, or without the time for answers.
 #[test]
@@ -17,12 +17,12 @@
         for number in 1..=u64::from(limit) {
             quarantine.take_messages(at(100 * number - 60));
             assert_eq!(
-                quarantine.admit(DEADLY, at(100 * number - 55)),
+                quarantine.admit(CRASHING, at(100 * number - 55)),
                 Admission::Open
             );
             crash(
                 &mut quarantine,
-                DEADLY,
+                CRASHING,
                 number,
                 100 * number - 50,
                 100 * number,
@@ -30,9 +30,9 @@
         }
         let last = 100 * u64::from(limit) + 21;
         quarantine.take_messages(at(last + 399));
-        assert!(!quarantine.is_quarantined(DEADLY), "limit {limit}");
+        assert!(!quarantine.is_quarantined(CRASHING), "limit {limit}");
         quarantine.take_messages(at(last + 400));
-        assert!(quarantine.is_quarantined(DEADLY), "limit {limit}");
+        assert!(quarantine.is_quarantined(CRASHING), "limit {limit}");
     }
 }
 
@@ -42,30 +42,30 @@
 fn verdict_at_once() {
     let mut quarantine = alone(RULES);
     for number in 1..=8 {
-        crash(&mut quarantine, DEADLY, number, 10 + number, 100);
+        crash(&mut quarantine, CRASHING, number, 10 + number, 100);
     }
-    crash(&mut quarantine, DEADLY, 1, 200, 300);
+    crash(&mut quarantine, CRASHING, 1, 200, 300);
     quarantine.take_messages(at(2_000));
-    let is_held = quarantine.is_quarantined(DEADLY);
+    let is_held = quarantine.is_quarantined(CRASHING);
     assert!(is_held, "an attempt began after the other crashes");
     let mut quarantine = alone(RULES);
     for number in 1..=8 {
-        crash(&mut quarantine, DEADLY, number, 10 + number, 100);
+        crash(&mut quarantine, CRASHING, number, 10 + number, 100);
     }
     quarantine.take_messages(at(2_000));
-    assert!(!quarantine.is_quarantined(DEADLY));
+    assert!(!quarantine.is_quarantined(CRASHING));
     let mut quarantine = alone(RULES);
     for round in 0..5 {
         crash(
             &mut quarantine,
-            DEADLY,
+            CRASHING,
             1,
             1_000 * round,
             1_000 * round + 100,
         );
     }
     quarantine.take_messages(at(9_000));
-    assert!(!quarantine.is_quarantined(DEADLY), "one instance");
+    assert!(!quarantine.is_quarantined(CRASHING), "one instance");
 }
 
 /// Guards against crashes of cold targets that don't count, so that a request goes on to
@@ -82,13 +82,13 @@
                 },
                 ..CRASHED
             };
-            let attempt = attempt(DEADLY, number, 100 * number - 50);
+            let attempt = attempt(CRASHING, number, 100 * number - 50);
             quarantine.on_broken(attempt, end, at(100 * number));
             quarantine.on_list(|_| false, at(100 * number + 20));
         }
         quarantine.take_messages(at(1_000));
         assert_eq!(
-            quarantine.is_quarantined(DEADLY),
+            quarantine.is_quarantined(CRASHING),
             warm > 0,
             "{warm} warm ones"
         );
@@ -103,24 +103,24 @@
     for number in 1..=3 {
         crash(
             &mut quarantine,
-            DEADLY,
+            CRASHING,
             number,
             100 * number - 50,
             100 * number,
         );
     }
-    quarantine.on_answered(DEADLY, at(500));
+    quarantine.on_answered(CRASHING, at(500));
     quarantine.take_messages(at(2_000));
-    crash(&mut quarantine, DEADLY, 4, 10_450, 10_501);
+    crash(&mut quarantine, CRASHING, 4, 10_450, 10_501);
     // Proven late: it ended before the answer.
-    quarantine.on_broken(attempt(DEADLY, 5, 50), CRASHED, at(400));
+    quarantine.on_broken(attempt(CRASHING, 5, 50), CRASHED, at(400));
     quarantine.on_list(|_| false, at(10_600));
-    crash(&mut quarantine, DEADLY, 6, 10_650, 10_700);
+    crash(&mut quarantine, CRASHING, 6, 10_650, 10_700);
     quarantine.take_messages(at(12_000));
-    assert!(!quarantine.is_quarantined(DEADLY));
-    crash(&mut quarantine, DEADLY, 7, 12_050, 12_100);
+    assert!(!quarantine.is_quarantined(CRASHING));
+    crash(&mut quarantine, CRASHING, 7, 12_050, 12_100);
     quarantine.take_messages(at(14_000));
-    assert!(quarantine.is_quarantined(DEADLY), "three crashes since");
+    assert!(quarantine.is_quarantined(CRASHING), "three crashes since");
 }
 
 /// Guards against a popular request that is refused because the last targets of its service
@@ -128,18 +128,18 @@
 #[test]
 fn on_answered_shield() {
     let mut quarantine = alone(RULES);
-    quarantine.on_answered(DEADLY, at(50));
+    quarantine.on_answered(CRASHING, at(50));
     for number in 1..=8 {
         crash(
             &mut quarantine,
-            DEADLY,
+            CRASHING,
             number,
             1_000 * number,
             1_000 * number + 10,
         );
     }
     quarantine.take_messages(at(10_000));
-    assert!(!quarantine.is_quarantined(DEADLY));
+    assert!(!quarantine.is_quarantined(CRASHING));
     assert_eq!(quarantine.sizes().crashes, 0);
 }
 
@@ -148,9 +148,9 @@
 #[test]
 fn on_answered_after_verdict() {
     let mut quarantine = quarantined();
-    quarantine.on_answered(DEADLY, at(1_010));
-    assert_eq!(quarantine.admit(DEADLY, at(1_011)), Admission::Open);
-    quarantine.on_broken(attempt(DEADLY, 7, 900), CRASHED, at(1_005));
+    quarantine.on_answered(CRASHING, at(1_010));
+    assert_eq!(quarantine.admit(CRASHING, at(1_011)), Admission::Open);
+    quarantine.on_broken(attempt(CRASHING, 7, 900), CRASHED, at(1_005));
     quarantine.on_list(|_| false, at(1_020));
     assert_eq!(quarantine.sizes().crashes, 0);
     let happenings: Vec<_> = quarantine
@@ -169,14 +169,17 @@
     let mut quarantine = quarantined();
     let mut due = 1_000 + 600_000;
     assert_eq!(
-        quarantine.admit(DEADLY, at(2_000)),
+        quarantine.admit(CRASHING, at(2_000)),
         Admission::Refused(due - 2_000)
     );
     for hold in [7_200_000, 86_400_000, 86_400_000] {
-        assert_eq!(quarantine.refusal(DEADLY, at(due - 1)), Some(1));
-        assert_eq!(quarantine.refusal(DEADLY, at(due)), None);
-        assert_eq!(quarantine.admit(DEADLY, at(due)), Admission::Trial);
-        assert_eq!(quarantine.admit(DEADLY, at(due)), Admission::Refused(hold));
+        assert_eq!(quarantine.refusal(CRASHING, at(due - 1)), Some(1));
+        assert_eq!(quarantine.refusal(CRASHING, at(due)), None);
+        assert_eq!(quarantine.admit(CRASHING, at(due)), Admission::Trial);
+        assert_eq!(
+            quarantine.admit(CRASHING, at(due)),
+            Admission::Refused(hold)
+        );
         due += hold;
     }
     let listed = &quarantine.list(at(due - 5))[0];
@@ -184,8 +187,8 @@
         (listed.trials, listed.trial, listed.refused),
         (3, Some(5), 7)
     );
-    quarantine.on_answered(DEADLY, at(due - 1));
-    assert_eq!(quarantine.admit(DEADLY, at(due)), Admission::Open);
+    quarantine.on_answered(CRASHING, at(due - 1));
+    assert_eq!(quarantine.admit(CRASHING, at(due)), Admission::Open);
 }
 
 /// Guards against an operator who can't end a verdict, and against crashes from before that
@@ -194,15 +197,15 @@
 fn lift_known() {
     let mut quarantine = quarantined();
     assert!(!quarantine.lift(Digest(1), at(1_100)));
-    assert!(quarantine.lift(DEADLY, at(1_100)));
-    assert!(!quarantine.lift(DEADLY, at(1_100)));
-    assert_eq!(quarantine.admit(DEADLY, at(1_101)), Admission::Open);
+    assert!(quarantine.lift(CRASHING, at(1_100)));
+    assert!(!quarantine.lift(CRASHING, at(1_100)));
+    assert_eq!(quarantine.admit(CRASHING, at(1_101)), Admission::Open);
     assert_eq!(quarantine.list(at(1_100))[0].ended, Some(Cause::Operator));
     for number in 4..=6 {
         let from = 1_000 * number;
-        assert!(!quarantine.is_quarantined(DEADLY));
-        crash(&mut quarantine, DEADLY, number, from, from + 10);
+        assert!(!quarantine.is_quarantined(CRASHING));
+        crash(&mut quarantine, CRASHING, number, from, from + 10);
     }
     quarantine.take_messages(at(9_000));
-    assert!(quarantine.is_quarantined(DEADLY));
+    assert!(quarantine.is_quarantined(CRASHING));
 }
--- a/tests/gateway_quarantine/world.rs
+++ b/tests/gateway_quarantine/world.rs
@@ -21,18 +21,18 @@
 pub const TARGETS: usize = 12;
 /// Targets are in this many failure domains, by turns.
 pub const DOMAINS: usize = 3;
-/// Deadly requests: the first may be retried, the second not.
-pub const DEADLY: usize = 2;
+/// Crashing requests: the first may be retried, the second not.
+pub const CRASHING: usize = 2;
 /// Popular requests, which no target crashes by.
 const POPULAR: u64 = 2;
 
-/// Digests of popular requests; those of deadly ones begin at 0.
+/// Digests of popular requests; those of crashing ones begin at 0.
 const POPULAR_DIGEST: u64 = 100;
 /// Digests of requests that come once.
 const VARIED_DIGEST: u64 = 10_000;
 
-/// Time of the first deadly requests. Popular ones have answers by then.
-const DEADLY_START_MS: u64 = 2_500;
+/// Time of the first crashing requests. Popular ones have answers by then.
+const CRASHING_START_MS: u64 = 2_500;
 
 /// Time until the first trial, in milliseconds.
 pub const HOLD_MS: u64 = 600_000;
@@ -51,7 +51,7 @@
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Request {
-    Deadly(usize),
+    Crashing(usize),
     Popular(u64),
     Varied(u64),
 }
@@ -59,7 +59,7 @@
 impl Request {
     fn digest(self) -> Digest {
         Digest(match self {
-            Self::Deadly(index) => index as u64,
+            Self::Crashing(index) => index as u64,
             Self::Popular(index) => POPULAR_DIGEST + index,
             Self::Varied(number) => VARIED_DIGEST + number,
         })
@@ -121,14 +121,14 @@
     split: BTreeSet<(usize, usize)>,
     /// Links on which connections are refused until this time.
     refusing: BTreeMap<(usize, usize), u64>,
-    /// Mean time between deadly requests.
-    pub deadly_ms: u64,
+    /// Mean time between crashing requests.
+    pub crashing_ms: u64,
     /// Whether requests that crashed targets still do.
-    pub deadly: bool,
+    pub crashing: bool,
     /// Datagrams that are lost, and those that are late, in percent.
     pub loss: u64,
     pub late: u64,
-    next_deadly: [u64; DEADLY],
+    next_crashing: [u64; CRASHING],
     varied: u64,
 }
 
@@ -156,14 +156,14 @@
             events: BTreeMap::new(),
             daemons: Vec::new(),
             targets: vec![Target::default(); TARGETS],
-            oracles: vec![Oracle::default(); DEADLY],
+            oracles: vec![Oracle::default(); CRASHING],
             split: BTreeSet::new(),
             refusing: BTreeMap::new(),
-            deadly_ms: 1_000,
-            deadly: true,
+            crashing_ms: 1_000,
+            crashing: true,
             loss: 0,
             late: 0,
-            next_deadly: [DEADLY_START_MS; DEADLY],
+            next_crashing: [CRASHING_START_MS; CRASHING],
             varied: 0,
         };
         for target in &mut world.targets {
@@ -316,9 +316,9 @@
         self.time += ms;
     }
 
-    /// Returns how many daemons refuse a deadly request.
-    pub fn refusing(&self, deadly: usize) -> usize {
-        let digest = Request::Deadly(deadly).digest();
+    /// Returns how many daemons refuse a request that crashes targets.
+    pub fn refusing(&self, crashing: usize) -> usize {
+        let digest = Request::Crashing(crashing).digest();
         let daemons = self.daemons.iter();
         daemons
             .filter(|daemon| daemon.quarantine.is_quarantined(digest))
@@ -326,13 +326,13 @@
     }
 
     /// Ends a verdict at one daemon, as an operator.
-    pub fn lift(&mut self, daemon: usize, deadly: usize) -> bool {
+    pub fn lift(&mut self, daemon: usize, crashing: usize) -> bool {
         let now = self.now(daemon);
-        let digest = Request::Deadly(deadly).digest();
+        let digest = Request::Crashing(crashing).digest();
         self.daemons[daemon].quarantine.lift(digest, now)
     }
 
-    pub fn oracle(&self, deadly: usize) -> &Oracle {
-        &self.oracles[deadly]
+    pub fn oracle(&self, crashing: usize) -> &Oracle {
+        &self.oracles[crashing]
     }
 }
--- a/tests/gateway_quarantine/world/callers.rs
+++ b/tests/gateway_quarantine/world/callers.rs
@@ -3,7 +3,7 @@
 use pistachiomoor::clock::Millis;
 use pistachiomoor::gateway::quarantine::{Admission, Attempt, Break, Fitness};
 
-use crate::world::{DAEMONS, DEADLY, Event, POPULAR, Request, Running, TARGETS, World, instance};
+use crate::world::{CRASHING, DAEMONS, Event, POPULAR, Request, Running, TARGETS, World, instance};
 
 /// Targets that one request is sent to.
 const MAX_ATTEMPTS: u32 = 3;
@@ -46,8 +46,8 @@
             Admission::Refused(_) => return self.on_refused(request),
             Admission::Open | Admission::Trial => {}
         }
-        if let Request::Deadly(index) = request
-            && self.deadly
+        if let Request::Crashing(index) = request
+            && self.crashing
         {
             let time = self.time;
             self.oracles[index].on_send(time);
@@ -107,18 +107,18 @@
             },
         };
         quarantine.on_broken(attempt, end, now);
-        if running.request != Request::Deadly(1) {
+        if running.request != Request::Crashing(1) {
             self.at(1, Event::Attempt(daemon, running.request, running.tried));
         }
     }
 
     pub(super) fn step_callers(&mut self) {
-        for index in 0..DEADLY {
-            if self.time >= self.next_deadly[index] {
-                let pause = 1 + self.draw(2 * self.deadly_ms);
-                self.next_deadly[index] = self.time + pause;
+        for index in 0..CRASHING {
+            if self.time >= self.next_crashing[index] {
+                let pause = 1 + self.draw(2 * self.crashing_ms);
+                self.next_crashing[index] = self.time + pause;
                 let daemon = self.draw(DAEMONS as u64) as usize;
-                self.attempt(daemon, Request::Deadly(index), Vec::new());
+                self.attempt(daemon, Request::Crashing(index), Vec::new());
             }
         }
         for daemon in 0..DAEMONS {
--- a/tests/gateway_quarantine/world/targets.rs
+++ b/tests/gateway_quarantine/world/targets.rs
@@ -31,8 +31,8 @@
         self.targets[target].running = rest;
         for running in broken {
             RESETS.fetch_add(1, Ordering::Relaxed);
-            // A deadly one goes on: the target runs it to its end in any case.
-            if self.deadly && matches!(running.request, Request::Deadly(_)) {
+            // A crashing one goes on: the target runs it to its end in any case.
+            if self.crashing && matches!(running.request, Request::Crashing(_)) {
                 self.targets[target].running.push(running);
             } else {
                 self.at(0, Event::End(target, running, false));
@@ -53,7 +53,7 @@
         state.down_until = self.time + down;
         for running in std::mem::take(&mut state.running) {
             let delay = 1 + self.draw(12);
-            if !matches!(running.request, Request::Deadly(_)) {
+            if !matches!(running.request, Request::Crashing(_)) {
                 INNOCENT_BREAKS.fetch_add(1, Ordering::Relaxed);
             }
             self.at(delay, Event::End(target, running, false));
@@ -75,9 +75,9 @@
             target.running.retain(|running| running.ends > time);
             for running in ended {
                 match running.request {
-                    Request::Deadly(deadly) if self.deadly => {
+                    Request::Crashing(crashing) if self.crashing => {
                         self.targets[index].running.push(running);
-                        self.oracles[deadly].on_crash(time);
+                        self.oracles[crashing].on_crash(time);
                         self.crash(index);
                     }
                     _ if self.targets[index].up => {
