Read configurations by resource and field, and know routes of kind download

Change: each resource and each field is read by itself. What can't be read costs as little as is safe, and is reported with its place: an unknown kind runs at most once, a destination that can't be read is refused, any other field has its default. A document without a readable version still has no effect. `download` is a kind of its own that may be repeated.

--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -31,6 +31,9 @@
         status.daemons,
         names(&status.drained_domains),
     );
+    for finding in &status.skipped {
+        text.push_str(&format!("configuration, skipped: {finding}\n"));
+    }
     let rows = status.targets.iter().map(|target| {
         vec![
             target.target.to_string(),
--- a/src/gateway/adapter.rs
+++ b/src/gateway/adapter.rs
@@ -202,12 +202,27 @@
     NonIdempotent,
     /// Requests that may run at most once and have a large body.
     Upload,
+    /// Requests that may run more than once and whose responses are large.
+    Download,
 }
 
 impl RequestKind {
     /// Returns whether a request of this kind may run more than once.
     pub fn is_retryable(self) -> bool {
-        self == Self::Idempotent
+        match self {
+            Self::Idempotent | Self::Download => true,
+            Self::NonIdempotent | Self::Upload => false,
+        }
+    }
+
+    /// Returns the name in metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Idempotent => "idempotent",
+            Self::NonIdempotent => "non_idempotent",
+            Self::Upload => "upload",
+            Self::Download => "download",
+        }
     }
 }
 
@@ -299,6 +314,8 @@
     pub services: Vec<Service>,
     /// Limits on callers.
     pub limits: Limits,
+    /// What of the configuration could not be read and is not in effect.
+    pub skipped: finding::Findings,
 }
 
 /// A range of keys, both ends included.
--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use crate::finding;
 use crate::gateway::adapter;
 use crate::model;
 
@@ -48,6 +49,7 @@
     hosts: HashMap<String, HostRoutes>,
     /// Allowed regions of keyed services that some route restricts.
     regions: HashMap<model::ServiceName, BTreeSet<model::RegionName>>,
+    skipped: finding::Findings,
 }
 
 impl Catalog {
@@ -70,6 +72,7 @@
             services,
             routes,
             hosts,
+            skipped: revision.skipped,
         }
     }
 
@@ -83,6 +86,11 @@
         self.limits
     }
 
+    /// Returns what of this version could not be read and is not in effect.
+    pub fn skipped(&self) -> &finding::Findings {
+        &self.skipped
+    }
+
     /// Returns the service named `name`.
     pub fn service(&self, name: &model::ServiceName) -> Option<&adapter::Service> {
         self.services.get(name)
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -74,6 +74,9 @@
 /// Pause between reads of the hosts' topic: hosts that start together are read at once.
 const HOSTS_PAUSE_MS: u64 = 1_000;
 
+/// Largest number of findings of one record that are logged. One record may have thousands.
+const MAX_LOGGED_FINDINGS: usize = 20;
+
 /// Age of a view from which on its renewal is logged, in percent of the drain bound.
 const OLD_VIEW_PERCENT: u64 = 75;
 
@@ -739,11 +742,15 @@
     tokio::task::spawn_local(append_host(Rc::clone(shared)));
 }
 
-/// Logs the findings of a record that is skipped.
+/// Logs the findings of a record that is skipped, or of which parts are.
 fn log_findings(findings: &finding::Findings) {
-    for finding in &findings.0 {
+    for finding in findings.0.iter().take(MAX_LOGGED_FINDINGS) {
         log::warn!("skipped: {}", finding.summary());
     }
+    let rest = findings.0.len().saturating_sub(MAX_LOGGED_FINDINGS);
+    if rest > 0 {
+        log::warn!("skipped: {rest} more findings of this record");
+    }
 }
 
 /// Appends this host's record, and retries until the log confirms it.
--- a/src/gateway/feed/readers.rs
+++ b/src/gateway/feed/readers.rs
@@ -142,6 +142,7 @@
             "configuration {} of offset {offset} is in effect",
             revision.version
         );
+        log_findings(&revision.skipped);
         let catalog = Rc::new(catalog::Catalog::new(revision));
         self.shared.distributions.borrow_mut().retain(&catalog);
         self.shared.on_configuration(offset, &catalog);
--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock;
+use crate::finding;
 use crate::gateway::adapter;
 use crate::gateway::registry;
 use crate::gateway::shared::Shared;
@@ -17,6 +18,9 @@
     pub ready: bool,
     /// Version of the configuration in effect, if there is one.
     pub version: Option<u64>,
+    /// What of that configuration could not be read and is not in effect.
+    #[serde(default)]
+    pub skipped: Vec<String>,
     /// Failure domains that operators drain.
     #[serde(rename = "taken_out")]
     pub drained_domains: Vec<model::DomainName>,
@@ -55,6 +59,10 @@
         host: shared.settings.host.clone(),
         ready: shared.is_ready(),
         version: catalog.as_ref().map(|catalog| catalog.version()),
+        skipped: catalog.as_ref().map_or_else(Vec::new, |catalog| {
+            let findings = catalog.skipped().0.iter();
+            findings.map(finding::Finding::summary).collect()
+        }),
         drained_domains: shared.drained_domains.borrow().keys().cloned().collect(),
         daemons: shared.peers.borrow().count_live(now),
         coordinator: table.as_ref().map(|(_, table)| table.host.clone()),
--- a/tests/gateway_catalog.rs
+++ b/tests/gateway_catalog.rs
@@ -52,6 +52,7 @@
         routes,
         services: vec![service("s1", false), service("s0", true)],
         limits: adapter::Limits::default(),
+        skipped: Default::default(),
     })
 }
 
