Bound the memory of responses and the time that slow callers hold targets

Cause: a response of up to 1 MiB was held for as long as its caller took it, without a limit on all of them together; a larger one kept the target's connection, and its slot, until the caller had read it, however slowly. A target also went on for up to 10 s with a response whose caller had left, because the task that forwards it looked at the caller only when a part came.

Change: bytes of responses count until the caller's host has them (`gateway::memory`); the fuller that memory is, the smaller the responses that are read whole. With a quarter of the host's memory in use, requests are refused before they are sent. A caller that takes less than 16 KiB of a waiting response in 10 s is reset. The forwarding task ends when the caller's connection does.

Tests: `path::downloads`. With the time limit at 1,000 s `slow_callers_bounded` fails ("the close at the target: not within 14s"), without the watch on the caller `caller_leaves_midway` does ("not within 500ms"), with `download` not repeated `download_repeated` does (502).

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -16,6 +16,7 @@
 pub mod exchange;
 pub mod history;
 pub mod keys;
+pub mod memory;
 pub mod notices;
 pub mod order;
 pub mod peers;
--- a/src/gateway/admin.rs
+++ b/src/gateway/admin.rs
@@ -262,6 +262,10 @@
             .is_some_and(|(_, table)| table.incarnation == shared.incarnation),
         reader: !shared.has_reader(),
         running: shared.in_flight.get(),
+        response_bytes: shared.client.memory().held(),
+        skipped: catalog
+            .as_ref()
+            .map_or(0, |catalog| catalog.skipped().0.len()),
         view_ages: {
             let (views, now) = (shared.views.borrow(), clock::now());
             Topic::ALL.map(|topic| views.age(topic, now))
--- a/src/gateway/client.rs
+++ b/src/gateway/client.rs
@@ -12,6 +12,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -24,6 +25,7 @@
 use tokio::task::JoinHandle;
 
 use crate::clock;
+use crate::gateway::memory;
 
 /// Idle timeout of a connection if the peer names none, in milliseconds.
 const DEFAULT_IDLE_MS: u64 = 8_000;
@@ -43,8 +45,9 @@
 /// memory for their identifiers, 8 bytes each.
 const MAX_CARRIED: usize = 1_024;
 
-/// Largest response body that is read whole before it is forwarded, in bytes.
-const MAX_WHOLE_BYTES: usize = 1 << 20;
+/// Largest part of a response that is read at once, in bytes. It bounds the memory for a
+/// large body that is forwarded as its caller takes it.
+const MAX_READ_BYTES: usize = 64 << 10;
 
 /// Largest response body that a call reads, in bytes. Peers of calls send at most a few
 /// megabytes; a body without an end must not fill the memory of a small host.
@@ -112,6 +115,16 @@
     Never,
 }
 
+/// How a request is sent, and its response read.
+struct Options<'m> {
+    /// Longest time for a new connection to open.
+    connect: Duration,
+    reuse: Reuse,
+    timeouts: ResponseTimeouts,
+    /// Memory that the response takes.
+    memory: &'m Arc<memory::ResponseMemory>,
+}
+
 /// Place of a response on its connection, from which callers conclude whether it
 /// certainly answers the request. Each response of [`Client::send`] has one among its
 /// extensions.
@@ -200,6 +213,10 @@
     identifier: Option<http::HeaderName>,
     /// Digests identifiers.
     hasher: RandomState,
+    /// Memory for responses that are forwarded.
+    memory: Arc<memory::ResponseMemory>,
+    /// Memory for the answers to calls, which has no limit: those who call keep them.
+    call_memory: Arc<memory::ResponseMemory>,
 }
 
 impl Client {
@@ -226,6 +243,19 @@
         }
     }
 
+    /// Sets the memory for responses that are forwarded; the default has no limit.
+    pub fn with_memory(self, memory: memory::ResponseMemory) -> Self {
+        Self {
+            memory: Arc::new(memory),
+            ..self
+        }
+    }
+
+    /// Returns the memory for responses that are forwarded.
+    pub fn memory(&self) -> &Arc<memory::ResponseMemory> {
+        &self.memory
+    }
+
     /// Returns the digest of a request's identifier, if it has one.
     fn digest<T>(&self, request: &http::Request<T>) -> Option<u64> {
         let id = request.headers().get(self.identifier.as_ref()?)?;
@@ -249,36 +279,38 @@
         may_send: impl Fn() -> bool,
         is_reusable: impl Fn(&http::HeaderMap) -> bool,
     ) -> Result<http::Response<Body>, Failure> {
-        let timeouts = ResponseTimeouts::UNLIMITED;
-        let reuse = Reuse::Pooled;
-        let exchange = self.send_on(peer, request, connect, reuse, timeouts, may_send);
+        let options = Options {
+            connect,
+            reuse: Reuse::Pooled,
+            timeouts: ResponseTimeouts::UNLIMITED,
+            memory: &self.memory,
+        };
+        let exchange = self.send_on(peer, request, &options, may_send);
         Ok(self.release(peer, exchange.await?, is_reusable))
     }
 
-    /// Sends a request on an idle connection if `reuse` allows it, or on a new one if none
+    /// Sends a request on an idle connection if the options allow it, or on a new one if none
     /// is usable.
     async fn send_on(
         &self,
         peer: Peer,
         request: http::Request<Bytes>,
-        connect: Duration,
-        reuse: Reuse,
-        timeouts: ResponseTimeouts,
+        options: &Options<'_>,
         may_send: impl Fn() -> bool,
     ) -> Result<Exchange, Failure> {
         let id = self.digest(&request);
         let mut request = request.map(Full::new);
-        while let Reuse::Pooled = reuse
+        while let Reuse::Pooled = options.reuse
             && let Some(mut connection) = self.take_idle(peer, id)
         {
             connection.carried.extend(id);
-            match Self::exchange(connection, request, timeouts).await {
+            match Self::exchange(connection, request, options).await {
                 Ok(exchange) => return Ok(exchange),
                 Err((failure, None)) => return Err(failure),
                 Err((_, Some(unsent))) => request = unsent,
             }
         }
-        let mut connection = connect_to(peer.address, connect).await?;
+        let mut connection = connect_to(peer.address, options.connect).await?;
         connection.carried.extend(id);
         if peer.birth != 0 {
             self.opened.inc();
@@ -286,7 +318,7 @@
         if !may_send() {
             return Err(Failure::Withdrawn);
         }
-        let exchange = Self::exchange(connection, request, timeouts).await;
+        let exchange = Self::exchange(connection, request, options).await;
         exchange.map_err(|(failure, _)| failure)
     }
 
@@ -318,9 +350,13 @@
         may_send: impl Fn() -> bool,
     ) -> Result<http::Response<Bytes>, Failure> {
         let timeouts = ResponseTimeouts::UNLIMITED;
-        let exchange = self
-            .send_on(peer, request, connect, reuse, timeouts, may_send)
-            .await?;
+        let options = Options {
+            connect,
+            reuse,
+            timeouts,
+            memory: &self.call_memory,
+        };
+        let exchange = self.send_on(peer, request, &options, may_send).await?;
         self.complete(peer, exchange, reuse, timeouts).await
     }
 
@@ -338,9 +374,13 @@
         reuse: Reuse,
         timeouts: ResponseTimeouts,
     ) -> Result<http::Response<Bytes>, Failure> {
-        let exchange = self
-            .send_on(peer, request, connect, reuse, timeouts, || true)
-            .await?;
+        let options = Options {
+            connect,
+            reuse,
+            timeouts,
+            memory: &self.call_memory,
+        };
+        let exchange = self.send_on(peer, request, &options, || true).await?;
         let response = self.complete(peer, exchange, reuse, timeouts).await?;
         match response.extensions().get() {
             Some(Origin::First | Origin::Later) => Ok(response),
@@ -415,7 +455,7 @@
     async fn exchange(
         mut connection: Connection,
         request: http::Request<Full<Bytes>>,
-        timeouts: ResponseTimeouts,
+        options: &Options<'_>,
     ) -> Result<Exchange, (Failure, Option<http::Request<Full<Bytes>>>)> {
         let origin = match std::mem::replace(&mut connection.used, true) {
             false => Origin::First,
@@ -427,7 +467,7 @@
         let copy = (origin == Origin::Later).then(|| request.clone());
         let body_bytes = hyper::body::Body::size_hint(request.body()).exact();
         let response = connection.sender.try_send_request(request);
-        let response = match with_timeout(timeouts.head, response).await {
+        let response = match with_timeout(options.timeouts.head, response).await {
             Ok(Ok(response)) => response,
             Err(failure) => return Err((failure, None)),
             Ok(Err(mut error)) => {
@@ -451,30 +491,32 @@
                 false => origin,
             });
         let mut bytes = bytes::BytesMut::new();
+        let mut share = memory::Share::new(options.memory);
         loop {
-            let frame = with_timeout(timeouts.part, incoming.frame()).await;
+            let frame = with_timeout(options.timeouts.part, incoming.frame()).await;
             let Some(frame) = frame.map_err(|failure| (failure, None))? else {
                 break;
             };
             let frame = frame.map_err(|_| (Failure::Broken, None))?;
             if let Ok(data) = frame.into_data() {
+                share.add(data.len());
                 bytes.extend_from_slice(&data);
             }
-            if bytes.len() > MAX_WHOLE_BYTES {
+            if bytes.len() > options.memory.whole_limit() {
                 let stream = Stream {
                     incoming,
                     progress: connection.progress,
                     length,
                     _driver: connection.driver,
                 };
-                let body = Body::Partial(bytes.freeze(), stream);
+                let body = Body::Partial(share.hold(bytes.freeze()), stream);
                 return Ok((http::Response::from_parts(parts, body), None));
             }
         }
         if connection.progress.is_longer(length) {
             parts.extensions.insert(Origin::Misframed);
         }
-        let body = Body::Whole(bytes.freeze());
+        let body = Body::Whole(share.hold(bytes.freeze()));
         Ok((http::Response::from_parts(parts, body), Some(connection)))
     }
 
@@ -560,7 +602,9 @@
     wire::set_options(&stream);
     let progress = Rc::new(wire::Progress::default());
     let stream = wire::Wire::new(stream, Rc::clone(&progress));
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_READ_BYTES)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(|_| Failure::Unreachable)?;
     let driver = tokio::task::spawn_local(async move {
--- a/src/gateway/counters.rs
+++ b/src/gateway/counters.rs
@@ -46,6 +46,13 @@
     route: String,
 }
 
+/// Labels of requests by kind and outcome.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct KindOutcomeLabels {
+    kind: &'static str,
+    outcome: &'static str,
+}
+
 /// Escapes a value of a label as the OpenMetrics text format requires; the library writes
 /// values as they are, and a quote or a line break makes the whole page unreadable.
 fn escape(value: &str) -> String {
@@ -184,6 +191,10 @@
     pub reader: bool,
     /// Requests in progress.
     pub running: usize,
+    /// Bytes of responses in memory that their callers have not taken yet.
+    pub response_bytes: usize,
+    /// Findings about the configuration in effect.
+    pub skipped: usize,
     /// Age of the view of each topic in milliseconds, in the order of [`Topic::ALL`];
     /// `None` before the first complete read.
     ///
@@ -199,6 +210,8 @@
     coordinator: Gauge,
     reader: Gauge,
     running: Gauge,
+    response_bytes: Gauge,
+    skipped: Gauge,
     view_ages: Family<TopicLabel, Gauge<f64, AtomicU64>>,
 }
 
@@ -237,6 +250,9 @@
     pub quarantined: Counter,
     /// Pauses that targets asked for.
     pub pauses: Counter,
+    /// Connections that were cut because their caller took the response too slowly.
+    pub slow_callers: Counter,
+    kind_requests: Family<KindOutcomeLabels, Counter>,
     route_requests: Family<RouteOutcomeLabels, Counter>,
     route_seconds: Family<RouteLabel, Histogram, fn() -> Histogram>,
     log_results: Family<CallLabels, Counter>,
@@ -270,6 +286,8 @@
             quarantine_changes: Counter::default(),
             quarantined: Counter::default(),
             pauses: Counter::default(),
+            slow_callers: Counter::default(),
+            kind_requests: Family::default(),
             route_requests: Family::default(),
             route_seconds: Family::new_with_constructor(new_histogram),
             log_results: Family::default(),
@@ -340,6 +358,11 @@
                 "Pauses that targets asked for",
                 &self.pauses,
             ),
+            (
+                "slow_callers",
+                "Connections cut because their caller took the answer too slowly",
+                &self.slow_callers,
+            ),
         ];
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
@@ -350,6 +373,8 @@
             "Requests by route and outcome",
             route_requests,
         );
+        let help = "Requests by the kind of their route and outcome";
+        registry.register("kind_requests", help, self.kind_requests.clone());
         let help = "Time to the answer's head by route";
         registry.register("route_seconds", help, self.route_seconds.clone());
         let help = "Calls to the log by topic and outcome";
@@ -374,6 +399,10 @@
         let help = "Whether the daemon makes its own calls to the log";
         registry.register("reader", help, gauges.reader.clone());
         registry.register("running", "Requests in progress", gauges.running.clone());
+        let help = "Bytes of answers in memory that callers have not taken yet";
+        registry.register("response_bytes", help, gauges.response_bytes.clone());
+        let help = "Parts of the configuration that could not be read";
+        registry.register("configuration_skipped", help, gauges.skipped.clone());
     }
 
     /// Replaces the routes by those of a new configuration. Metrics of routes that
@@ -437,6 +466,20 @@
         }
     }
 
+    /// Counts a request to a route of `kind`.
+    pub(crate) fn on_kind(&self, kind: adapter::RequestKind, outcome: Outcome) {
+        self.kind_counter(kind, outcome).inc();
+    }
+
+    /// Returns the counter of requests to routes of `kind`.
+    pub(crate) fn kind_counter(&self, kind: adapter::RequestKind, outcome: Outcome) -> Counter {
+        let labels = KindOutcomeLabels {
+            kind: kind.label(),
+            outcome: outcome.label(),
+        };
+        self.kind_requests.get_or_create(&labels).clone()
+    }
+
     /// Returns the counter of a route's responses that ended early, or `None` if the
     /// route does not exist.
     pub(crate) fn truncated_counter(&self, route: &str) -> Option<Counter> {
@@ -496,6 +539,8 @@
         self.gauges.coordinator.set(i64::from(values.coordinator));
         self.gauges.reader.set(i64::from(values.reader));
         self.gauges.running.set(values.running as i64);
+        self.gauges.response_bytes.set(values.response_bytes as i64);
+        self.gauges.skipped.set(values.skipped as i64);
         for (topic, age) in adapter::Topic::ALL.into_iter().zip(values.view_ages) {
             let label = TopicLabel {
                 topic: topic.label(),
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -44,12 +44,6 @@
 /// Reason for refusing a request that is in quarantine.
 const QUARANTINED: &str = "targets crashed in attempts of this request";
 
-/// Request bodies may take one part in this many of the daemon's memory.
-const BODY_MEMORY_DIVISOR: usize = 4;
-
-/// Bytes of a megabyte in the settings.
-const MEGABYTE_BYTES: usize = 1 << 20;
-
 /// The work of a route without samples is assumed to be one part in this many of
 /// its latency objective.
 const INITIAL_WORK_DIVISOR: f64 = 3.0;
@@ -214,6 +208,9 @@
     guard
         .trace
         .on_route(&route, parts.headers.get(&shared.adapter.names().request));
+    if shared.client.memory().is_full() {
+        return Err(Refusal::Unavailable("no memory for responses"));
+    }
     let names = shared.adapter.names();
     let timeout = head::number(&parts.headers, &names.deadline).unwrap_or(DEFAULT_TIMEOUT_MS);
     let timeout = timeout.saturating_sub(RESPONSE_MARGIN_MS.min(timeout / RESPONSE_MARGIN_DIVISOR));
@@ -264,8 +261,7 @@
     mut body: Incoming,
 ) -> Result<Bytes, Refusal> {
     let limit = catalog.limits().body_bytes;
-    let memory =
-        (shared.settings.capacity.memory_mb as usize) * MEGABYTE_BYTES / BODY_MEMORY_DIVISOR;
+    let memory = shared.settings.capacity.body_bytes();
     let mut bytes = bytes::BytesMut::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| Refusal::Invalid(400, "the body ended early"))?;
--- a/src/gateway/exchange/attempt.rs
+++ b/src/gateway/exchange/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,6 +14,7 @@
 use crate::gateway::counters;
 use crate::gateway::exchange::response::{self, Body};
 use crate::gateway::exchange::{ResolvedRequest, head, selection};
+use crate::gateway::memory;
 use crate::gateway::registry;
 use crate::gateway::shared::Shared;
 use crate::gateway::trace;
@@ -242,10 +244,9 @@
     guard.finish(choice::AttemptOutcome::Answered(time), load);
     shared.on_run(request.digest());
     observe_work(shared, request, time, load);
-    AttemptResult::Response(forward_response(
-        response,
-        shared.truncation_recorder(&request.trace),
-    ))
+    let memory = Arc::clone(shared.client.memory());
+    let recorder = shared.truncation_recorder(&request.trace);
+    AttemptResult::Response(forward_response(response, memory, recorder))
 }
 
 /// Ends an attempt whose response does not certainly answer the request.
@@ -293,12 +294,13 @@
 /// Returns a target's response as it is sent to the caller.
 fn forward_response(
     response: http::Response<client::Body>,
+    memory: Arc<memory::ResponseMemory>,
     recorder: trace::TruncationRecorder,
 ) -> http::Response<Body> {
     let (parts, body) = response.into_parts();
     let body = match body {
         client::Body::Whole(bytes) => Body::Whole(Some(bytes)),
-        client::Body::Partial(first, rest) => stream_body(first, rest, recorder),
+        client::Body::Partial(first, rest) => stream_body(first, rest, memory, recorder),
     };
     let mut forwarded = http::Response::new(body);
     *forwarded.status_mut() = parts.status;
@@ -323,10 +325,12 @@
     forwarded
 }
 
-/// Returns a body that forwards the chunks of a large response as they arrive.
+/// Returns a body that forwards the chunks of a large response as they arrive, no faster than
+/// the caller takes them. The target's connection is closed once the caller has left.
 fn stream_body(
     first: Bytes,
     mut rest: client::Stream,
+    memory: Arc<memory::ResponseMemory>,
     recorder: trace::TruncationRecorder,
 ) -> Body {
     let (sender, receiver) = tokio::sync::mpsc::channel(BUFFERED_CHUNKS);
@@ -340,8 +344,13 @@
             if sender.send(chunk).await.is_err() {
                 return;
             }
-            let part = tokio::time::timeout(PART_TIMEOUT, rest.next()).await;
-            next = part.unwrap_or(Some(Err(client::Failure::Broken)));
+            let part = tokio::select! {
+                biased;
+                () = sender.closed() => return,
+                part = tokio::time::timeout(PART_TIMEOUT, rest.next()) => part,
+            };
+            let part = part.unwrap_or(Some(Err(client::Failure::Broken)));
+            next = part.map(|part| part.map(|bytes| memory.hold(bytes)));
         }
     });
     Body::Streamed(receiver)
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -2,6 +2,7 @@
 
 mod socket;
 
+use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -13,6 +14,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 
+use crate::gateway::counters;
 use crate::gateway::exchange;
 use crate::gateway::shared::Shared;
 
@@ -110,6 +112,8 @@
     // Responses are written in one piece, so that Nagle's algorithm only delays them.
     let _ = stream.set_nodelay(true);
     let stream = Rc::new(stream);
+    let slow = Rc::new(Cell::new(false));
+    let socket = socket::Socket::new(Rc::clone(&stream), Rc::clone(&slow));
     let handler = service::service_fn({
         let shared = Rc::clone(&shared);
         move |request| {
@@ -123,7 +127,7 @@
         // includes the time for which the connection is idle.
         .header_read_timeout(Duration::from_millis(limits.idle_ms.max(limits.header_ms)))
         .max_buf_size(limits.header_bytes.max(MIN_READ_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(socket::Socket(Rc::clone(&stream))), handler);
+        .serve_connection(TokioIo::new(socket), handler);
     let mut connection = std::pin::pin!(connection);
     let idle_close = async {
         // Fails only if the daemon ends.
@@ -141,6 +145,12 @@
             connection.await
         }
     };
+    if slow.get() {
+        counters::increment(&shared.counters.slow_callers);
+        log::info!("a caller's connection is cut, as it took the response too slowly");
+        // A caller without a length or chunks takes a close for the end of the body.
+        let _ = stream.set_zero_linger();
+    }
     // Such an error comes from the response body: it ended early.
     if result.is_err_and(|error| error.is_user()) {
         // Without a length or chunks, a caller takes a close for the end of the body.
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -121,6 +121,21 @@
     }
 }
 
+/// Bodies of requests, and those of responses, may each take one part in this many of the
+/// daemon's memory.
+const BODY_MEMORY_DIVISOR: usize = 4;
+
+/// Bytes of a megabyte in the settings.
+const MEGABYTE_BYTES: usize = 1 << 20;
+
+impl Capacity {
+    /// Returns the memory for bodies of requests, and as much again for those of responses, in
+    /// bytes.
+    pub fn body_bytes(&self) -> usize {
+        (self.memory_mb as usize).saturating_mul(MEGABYTE_BYTES) / BODY_MEMORY_DIVISOR
+    }
+}
+
 /// Costs that the choice of targets adds to a target's estimated response time, for its
 /// distance and for a new connection, and rules for requests that crash targets.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -20,6 +20,7 @@
 use crate::gateway::exchange::stop;
 use crate::gateway::history;
 use crate::gateway::keys;
+use crate::gateway::memory;
 use crate::gateway::notices;
 use crate::gateway::peers;
 use crate::gateway::quarantine;
@@ -137,10 +138,11 @@
             quarantine: RefCell::new(quarantine::Quarantine::new(host, rules, clock::now())),
             region: settings.region(&settings.domain).cloned(),
             peers: RefCell::new(peers::Directory::new(settings.host.clone())),
+            client: client::Client::with_counter(counters.connections.clone())
+                .with_identifier(adapter.names().request.clone())
+                .with_memory(memory::ResponseMemory::new(settings.capacity.body_bytes())),
             settings,
             incarnation: model::Incarnation(rand::random()),
-            client: client::Client::with_counter(counters.connections.clone())
-                .with_identifier(adapter.names().request.clone()),
             orders: client::Client::with_counter(counters.connections.clone()),
             adapter,
             catalog: RefCell::default(),
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -225,6 +225,7 @@
 /// Records a response that ends early, after its head was sent.
 pub(crate) struct TruncationRecorder {
     counter: Option<Counter>,
+    kind_counter: Option<Counter>,
     recent: Rc<recent::Ring>,
     burn: Rc<burn::Table>,
     trace: Rc<Trace>,
@@ -242,7 +243,7 @@
         let outcome = Outcome::Truncated;
         self.recent.add(self.trace.entry(head, outcome.label(), ms));
         self.burn.record(&head.route, outcome, ms, now);
-        if let Some(counter) = &self.counter {
+        for counter in self.counter.iter().chain(&self.kind_counter) {
             counter.inc();
         }
     }
@@ -283,6 +284,7 @@
         let now = clock::now();
         let ms = now.since(trace.start);
         self.counters.on_request(&head.route.name, outcome, ms);
+        self.counters.on_kind(head.route.kind, outcome);
         self.burn.record(&head.route, outcome, ms, now);
         let late = outcome == Outcome::Answered && ms > head.route.objective_ms;
         if outcome == Outcome::Answered && !late {
@@ -303,6 +305,10 @@
         let head = trace.head.get();
         TruncationRecorder {
             counter: head.and_then(|head| self.counters.truncated_counter(&head.route.name)),
+            kind_counter: head.map(|head| {
+                let kind = head.route.kind;
+                self.counters.kind_counter(kind, Outcome::Truncated)
+            }),
             recent: Rc::clone(&self.recent),
             burn: Rc::clone(&self.burn),
             trace: Rc::clone(trace),
