Limit the messages on requests in progress, and divide large failure domains

Computed from the constants, each sent up to 2,570 messages a second on its requests in progress, and each message that arrived copied the sums of all targets that the receiver had used; each request without a key looked at all 627 targets. Which part each has was not told apart.

Change: the rate of these messages has a limit for each tier of daemons, and a message costs only what it names. Daemons and targets of a failure domain with many of both form groups; a daemon prefers its group's targets while one of them has a free slot. With 11 daemons, and up to 64 targets of a service, nothing changes.

Tests: `group_division` and `gossip_intervals` are new and don't build without the change. `counts_expired` names the time that was a constant.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -147,7 +147,8 @@
         let now = clock::now();
         shared.client.close_expired(now);
         shared.orders.close_expired(now);
-        shared.choice.borrow_mut().expire(now);
+        let ttl = peers::report_ttl_ms(&shared);
+        shared.choice.borrow_mut().expire(now, ttl);
         let instances = executor::instances(&shared);
         shared
             .choice
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -5,6 +5,9 @@
 //! progress there, and the cost of reaching it. The target with the lowest
 //! estimate is picked. This module does no I/O and reads no clock.
 
+pub mod gossip;
+pub mod subset;
+
 use std::borrow::Cow;
 use std::collections::HashMap;
 use std::hash::Hasher;
@@ -49,9 +52,6 @@
 /// Longest backoff after a target could not be reached, in milliseconds.
 const MAX_BACKOFF_MS: u64 = 2_400;
 
-/// Time after which a daemon's report of its requests expires, in milliseconds.
-const REPORT_TTL_MS: u64 = 2_000;
-
 /// Requests in progress per slot from which on a target is full.
 const MAX_REQUESTS_PER_SLOT: f64 = 2.5;
 
@@ -156,8 +156,6 @@
 struct Stats {
     /// Requests that this daemon has in progress there.
     own_requests: u32,
-    /// Requests that other daemons report to have in progress there.
-    peer_requests: u32,
     digest: u32,
     /// Requests of other senders, according to the target's last load report.
     reported_requests: f64,
@@ -181,7 +179,6 @@
     fn default() -> Self {
         Self {
             own_requests: 0,
-            peer_requests: 0,
             digest: 0,
             reported_requests: 0.0,
             slowness: 1.0,
@@ -201,17 +198,16 @@
 }
 
 impl Stats {
-    /// Returns the estimated number of requests at the target.
-    ///
-    /// Requests of other daemons are known from their reports. The target's own
-    /// last load report makes up for reports that were lost.
-    fn requests(&self, now: clock::Millis) -> f64 {
+    /// Returns the estimated number of requests at the target, where other daemons report to
+    /// have `peer_requests` in progress. The target's own last load report makes up for reports
+    /// that were lost.
+    fn requests(&self, peer_requests: u32, now: clock::Millis) -> f64 {
         let reported = decay(
             self.reported_requests,
             now.since(self.reported_at),
             LOAD_HALF_LIFE_MS,
         );
-        f64::from(self.own_requests) + f64::from(self.peer_requests).max(reported)
+        f64::from(self.own_requests) + f64::from(peer_requests).max(reported)
     }
 
     /// Returns the factor by which the target is slower than usual.
@@ -232,11 +228,10 @@
         )
     }
 
-    /// Returns the estimated response time in milliseconds.
-    fn estimate(&self, candidate: &Candidate, work: f64, now: clock::Millis) -> f64 {
+    /// Returns the estimated response time in milliseconds with `requests` at the target.
+    fn estimate(&self, candidate: &Candidate, requests: f64, work: f64, now: clock::Millis) -> f64 {
         let slots = f64::from(candidate.slots.max(1));
         let run_time = work * self.time_factor * self.slowness(now);
-        let requests = self.requests(now);
         let queue_time = (requests + 1.0 - slots).max(0.0) / slots * run_time;
         // A target near its limit is slower, and its load may be higher than known.
         let crowding = run_time * CROWDING_PENALTY * (requests / slots).min(1.0);
@@ -292,11 +287,13 @@
             if stats.retry_at > now {
                 continue;
             }
-            if stats.requests(now) >= MAX_REQUESTS_PER_SLOT * f64::from(candidate.slots.max(1)) {
+            let requests = stats.requests(self.reported(stats.digest), now);
+            if requests >= MAX_REQUESTS_PER_SLOT * f64::from(candidate.slots.max(1)) {
                 any_full = true;
                 continue;
             }
-            let estimate = stats.estimate(candidate, work, now) * (1.0 + JITTER * random());
+            let estimate = stats.estimate(candidate, requests, work, now);
+            let estimate = estimate * (1.0 + JITTER * random());
             if best.is_none_or(|(lowest, _)| estimate < lowest) {
                 best = Some((estimate, index));
             }
@@ -309,22 +306,22 @@
         }
     }
 
-    /// Returns the statistics of a target. For one that this daemon has not used
-    /// yet, they hold only the requests that other daemons reported.
+    /// Returns the statistics of a target, or those of one that this daemon has not used yet.
     fn stats_of(&self, instance: &Instance) -> Cow<'_, Stats> {
         match self.stats.get(instance) {
             Some(stats) => Cow::Borrowed(stats),
             None => Cow::Owned(Stats {
-                peer_requests: self
-                    .peer_requests
-                    .get(&instance.digest())
-                    .copied()
-                    .unwrap_or(0),
+                digest: instance.digest(),
                 ..Stats::default()
             }),
         }
     }
 
+    /// Returns how many requests other daemons report to have in progress at a target.
+    fn reported(&self, digest: u32) -> u32 {
+        self.peer_requests.get(&digest).copied().unwrap_or(0)
+    }
+
     /// Returns the index of the candidate whose backoff ends first.
     fn earliest_retry(&self, candidates: &[Candidate]) -> usize {
         let retry_at = |index: &usize| {
@@ -336,13 +333,15 @@
 
     /// Returns the estimated response time in milliseconds.
     pub fn estimate(&self, candidate: &Candidate, work: f64, now: clock::Millis) -> f64 {
-        self.stats_of(&candidate.instance)
-            .estimate(candidate, work, now)
+        let stats = self.stats_of(&candidate.instance);
+        let requests = stats.requests(self.reported(stats.digest), now);
+        stats.estimate(candidate, requests, work, now)
     }
 
     /// Returns the estimated number of requests at a target, running and queued.
     pub fn requests(&self, instance: &Instance, now: clock::Millis) -> f64 {
-        self.stats_of(instance).requests(now)
+        let stats = self.stats_of(instance);
+        stats.requests(self.reported(stats.digest), now)
     }
 
     /// Returns the number of requests that this daemon has in progress at a target.
@@ -378,14 +377,9 @@
 
     /// Returns the statistics of a target, added if there are none.
     fn entry(&mut self, instance: &Instance) -> &mut Stats {
-        let peer_requests = &self.peer_requests;
-        self.stats.entry(instance.clone()).or_insert_with(|| {
-            let digest = instance.digest();
-            Stats {
-                digest,
-                peer_requests: peer_requests.get(&digest).copied().unwrap_or(0),
-                ..Stats::default()
-            }
+        self.stats.entry(instance.clone()).or_insert_with(|| Stats {
+            digest: instance.digest(),
+            ..Stats::default()
         })
     }
 
@@ -403,6 +397,9 @@
 
     /// Replaces the report of the requests that the daemon `peer` has in progress.
     pub fn on_counts(&mut self, peer: u64, counts: RequestCounts, now: clock::Millis) {
+        for &(digest, count) in &counts {
+            *self.peer_requests.entry(digest).or_default() += u32::from(count);
+        }
         let report = Report {
             received: now,
             counts,
@@ -410,11 +407,6 @@
         if let Some(old) = self.reports.insert(peer, report) {
             self.subtract(&old.counts);
         }
-        let new = self.reports[&peer].counts.clone();
-        for &(digest, count) in &new {
-            *self.peer_requests.entry(digest).or_default() += u32::from(count);
-        }
-        self.update_stats();
     }
 
     /// Takes a report that is no longer valid out of the sums.
@@ -426,19 +418,12 @@
         }
     }
 
-    /// Copies the sums of reported requests to the statistics of targets.
-    fn update_stats(&mut self) {
-        for stats in self.stats.values_mut() {
-            stats.peer_requests = self.peer_requests.get(&stats.digest).copied().unwrap_or(0);
-        }
-    }
-
-    /// Drops the reports of daemons from which none arrived lately.
-    pub fn expire(&mut self, now: clock::Millis) {
+    /// Drops the reports of daemons from which none arrived for `ttl` milliseconds.
+    pub fn expire(&mut self, now: clock::Millis, ttl: u64) {
         let expired: Vec<u64> = self
             .reports
             .iter()
-            .filter(|(_, report)| now.since(report.received) > REPORT_TTL_MS)
+            .filter(|(_, report)| now.since(report.received) > ttl)
             .map(|(peer, _)| *peer)
             .collect();
         for peer in expired {
@@ -447,7 +432,6 @@
             }
         }
         self.peer_requests.retain(|_, sum| *sum > 0);
-        self.update_stats();
     }
 
     /// Records the outcome of a request that was expected to take `work`
--- a/src/gateway/exchange/selection.rs
+++ b/src/gateway/exchange/selection.rs
@@ -6,10 +6,11 @@
 
 use crate::clock;
 use crate::gateway::adapter;
-use crate::gateway::choice;
+use crate::gateway::choice::{self, subset};
 use crate::gateway::exchange::attempt::Attempt;
 use crate::gateway::exchange::{AttemptState, RETRY_AFTER_MS, ResolvedRequest};
 use crate::gateway::notices;
+use crate::gateway::peers;
 use crate::gateway::quota;
 use crate::gateway::registry;
 use crate::gateway::shared::Shared;
@@ -29,7 +30,8 @@
 /// owner of its key again.
 const MAX_OWNER_RETRIES: u32 = 2;
 
-/// Picks a target for a request without a key.
+/// Picks a target for a request without a key: one of this daemon's group with a free slot, or
+/// else any target.
 ///
 /// # Errors
 /// Returns the reason for the refusal if no target can take the request.
@@ -41,45 +43,116 @@
     let now = clock::now();
     let registry = shared.registry.borrow();
     let targets = registry.of(&request.service.name);
-    let mut eligible = Vec::with_capacity(targets.len());
-    let mut candidates = Vec::with_capacity(targets.len());
-    let mut notice = None;
-    for target in targets {
-        let instance = target.instance();
-        let standing = shared.standing(&instance, now);
-        notice = notice.or(standing.reason(now));
-        let allowed = standing == notices::Standing::Open
-            && accepts_work(shared, target)
-            && shared.is_allowed(&target.domain, &request.route.regions)
-            && !state.tried.contains(&instance);
-        if allowed
-            && (target.cold_until <= now || admit_cold(shared, target, &instance, request, false))
+    if targets.len() > subset::MAX_UNDIVIDED {
+        let near = near_targets(shared, targets, now);
+        let options = Options::of(shared, request, state, near, now);
+        if let choice::Pick::Chosen(index) = options.pick(shared, request, now)
+            && options.has_free_slot(shared, index, now)
         {
-            eligible.push(target);
-            candidates.push(choice::Candidate {
-                instance,
-                slots: target.slots,
-                cost_ms: shared.cost_ms(target),
-            });
+            return Ok(options.attempt(shared, request, index, now));
         }
     }
-    let table = shared.choice.borrow();
-    match table.pick(&candidates, request.work_ms, now, rand::random::<f64>) {
-        choice::Pick::Chosen(index) => {
-            let target = eligible[index];
-            if target.cold_until > now {
-                admit_cold(shared, target, &candidates[index].instance, request, true);
-            }
-            Ok(Attempt::new(shared, target))
-        }
+    let options = Options::of(shared, request, state, targets.iter().collect(), now);
+    match options.pick(shared, request, now) {
+        choice::Pick::Chosen(index) => Ok(options.attempt(shared, request, index, now)),
         choice::Pick::AllFull => Err("all targets are full"),
         choice::Pick::NoCandidate => {
-            request.trace.on_notice(notice);
+            request.trace.on_notice(options.notice);
             Err("no target")
         }
     }
 }
 
+/// Returns those of a service's targets that are in this daemon's group.
+fn near_targets<'r>(
+    shared: &Shared,
+    targets: &'r [Rc<registry::Target>],
+    now: clock::Millis,
+) -> Vec<&'r Rc<registry::Target>> {
+    let own = &shared.settings.domain;
+    let targets = targets.iter().filter(|target| target.domain == *own);
+    let targets: Vec<_> = targets.collect();
+    let group = peers::own_group(shared, targets.len(), now);
+    let count = targets.len();
+    let members = targets.into_iter().enumerate();
+    let members = members.filter(|(position, _)| group.contains(*position, count));
+    members.map(|(_, target)| target).collect()
+}
+
+/// Targets that may get a request, with what the choice among them considers.
+struct Options<'r> {
+    targets: Vec<&'r Rc<registry::Target>>,
+    candidates: Vec<choice::Candidate>,
+    /// What a target said of itself, for which it is left out.
+    notice: Option<notices::Reason>,
+}
+
+impl<'r> Options<'r> {
+    /// Returns those of `targets` that may get the request.
+    fn of(
+        shared: &Shared,
+        request: &ResolvedRequest,
+        state: &AttemptState,
+        targets: Vec<&'r Rc<registry::Target>>,
+        now: clock::Millis,
+    ) -> Self {
+        let mut options = Self {
+            targets: Vec::with_capacity(targets.len()),
+            candidates: Vec::with_capacity(targets.len()),
+            notice: None,
+        };
+        for target in targets {
+            let instance = target.instance();
+            let standing = shared.standing(&instance, now);
+            options.notice = options.notice.or(standing.reason(now));
+            let allowed = standing == notices::Standing::Open
+                && accepts_work(shared, target)
+                && shared.is_allowed(&target.domain, &request.route.regions)
+                && !state.tried.contains(&instance);
+            if allowed
+                && (target.cold_until <= now
+                    || admit_cold(shared, target, &instance, request, false))
+            {
+                options.targets.push(target);
+                options.candidates.push(choice::Candidate {
+                    instance,
+                    slots: target.slots,
+                    cost_ms: shared.cost_ms(target),
+                });
+            }
+        }
+        options
+    }
+
+    fn pick(&self, shared: &Shared, request: &ResolvedRequest, now: clock::Millis) -> choice::Pick {
+        let table = shared.choice.borrow();
+        table.pick(&self.candidates, request.work_ms, now, rand::random::<f64>)
+    }
+
+    /// Returns whether the target at `index` would run one more request at once.
+    fn has_free_slot(&self, shared: &Shared, index: usize, now: clock::Millis) -> bool {
+        let candidate = &self.candidates[index];
+        let requests = shared.choice.borrow().requests(&candidate.instance, now);
+        requests + 1.0 <= f64::from(candidate.slots.max(1))
+    }
+
+    /// Returns the attempt at the target at `index`.
+    fn attempt(
+        &self,
+        shared: &Shared,
+        request: &ResolvedRequest,
+        index: usize,
+        now: clock::Millis,
+    ) -> Attempt {
+        let target = self.targets[index];
+        if target.cold_until > now {
+            let instance = &self.candidates[index].instance;
+            admit_cold(shared, target, instance, request, true);
+        }
+        Attempt::new(shared, target)
+    }
+}
+
 /// Returns whether a target without keys may get new requests, by what is known from the
 /// log.
 fn accepts_work(shared: &Shared, target: &registry::Target) -> bool {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -11,7 +11,7 @@
 use crate::clock;
 use crate::finding;
 use crate::gateway::adapter;
-use crate::gateway::choice::{self, RequestCounts};
+use crate::gateway::choice::{self, RequestCounts, gossip, subset};
 use crate::gateway::quarantine;
 use crate::gateway::relay;
 use crate::gateway::shared::Shared;
@@ -35,13 +35,6 @@
 /// Largest datagram that is read.
 const MAX_DATAGRAM_BYTES: usize = 9_000;
 
-/// Interval between checks of the requests in progress, called rounds.
-const COUNTS_INTERVAL_MS: u64 = 25;
-
-/// Rounds after which changed counts are sent to the daemons of the failure domain, of
-/// the rest of the region, and of other regions.
-const TIER_ROUNDS: [u64; 3] = [1, 5, 24];
-
 /// Rounds after which unchanged counts are sent again.
 const REPEAT_ROUNDS: u64 = 40;
 
@@ -307,6 +300,21 @@
         before.count() as u32
     }
 
+    /// Returns the hosts of `domain`, that of this daemon, whose daemons may be live, this one
+    /// included, by name.
+    fn domain_hosts(
+        &self,
+        domain: &model::DomainName,
+        now: clock::Millis,
+    ) -> Vec<&model::HostName> {
+        let records = self.live_peers(now).map(|peer| &peer.record);
+        let hosts = records.filter(|record| record.domain == *domain);
+        let hosts = hosts.map(|record| &record.host);
+        let mut hosts: Vec<_> = hosts.chain(&self.own).collect();
+        hosts.sort_unstable();
+        hosts
+    }
+
     /// Returns the hosts of the daemons that may be live, this one of failure domain `domain`
     /// included: one of each failure domain by name, then the next one of each.
     pub fn voter_candidates(
@@ -442,34 +450,34 @@
 
 /// Sends a message to the daemons of this host's failure domain with a recent heartbeat.
 pub(crate) fn send_to_domain(shared: &Shared, message: &[u8]) {
-    for address in tier_addresses(shared, 0) {
+    for address in domain_addresses(shared) {
         // A daemon that misses a message detects this by a later one.
         let _ = shared.socket.try_send_to(message, address);
     }
 }
 
-/// Sends this daemon's requests in progress to other daemons whenever they change: to
-/// those of its failure domain at once, to others less often, since traffic between
-/// domains and regions has a price.
+/// Sends this daemon's requests in progress to other daemons when they have changed, at the
+/// intervals of [`gossip`].
 pub(crate) async fn send_counts(shared: Rc<Shared>, socket: Rc<UdpSocket>) {
     let mut round = 0_u64;
-    let mut sent = [
-        RequestCounts::new(),
-        RequestCounts::new(),
-        RequestCounts::new(),
-    ];
-    let mut sent_at = [0_u64; 3];
+    let mut every: [u64; gossip::TIERS] = std::array::from_fn(|tier| gossip::rounds(tier, 0));
+    let mut sent: [RequestCounts; gossip::TIERS] = Default::default();
+    let mut sent_at = [0_u64; gossip::TIERS];
     loop {
-        tokio::time::sleep(Duration::from_millis(COUNTS_INTERVAL_MS)).await;
+        tokio::time::sleep(Duration::from_millis(gossip::ROUND_MS)).await;
         round += 1;
+        if every.iter().all(|every| !round.is_multiple_of(*every)) {
+            continue;
+        }
         let counts = shared.choice.borrow().counts();
-        for (tier, every) in TIER_ROUNDS.into_iter().enumerate() {
+        for tier in 0..gossip::TIERS {
             let stale = round - sent_at[tier] >= REPEAT_ROUNDS && !counts.is_empty();
-            if !round.is_multiple_of(every) || (counts == sent[tier] && !stale) {
+            if !round.is_multiple_of(every[tier]) || (counts == sent[tier] && !stale) {
                 continue;
             }
             let message = encode(&Message::Counts(shared.incarnation.0, counts.clone()));
             let addresses = tier_addresses(&shared, tier);
+            every[tier] = gossip::rounds(tier, addresses.len());
             for address in addresses {
                 // A lost message is followed by the next one.
                 let _ = socket.send_to(&message, address).await;
@@ -480,23 +488,59 @@
     }
 }
 
-/// Returns the addresses of the daemons of a tier with a recent heartbeat: 0 is the same
-/// failure domain, 1 the rest of the region, 2 other regions.
+/// Returns the addresses of the daemons of this host's failure domain with a recent heartbeat.
+fn domain_addresses(shared: &Shared) -> Vec<SocketAddr> {
+    let peers = shared.peers.borrow();
+    let own = peers.recent_peers(clock::now());
+    let own = own.filter(|peer| peer.record.domain == shared.settings.domain);
+    own.map(|peer| peer.record.address).collect()
+}
+
+/// Returns the addresses of the daemons of a tier of [`gossip`] with a recent heartbeat.
 fn tier_addresses(shared: &Shared, tier: usize) -> Vec<SocketAddr> {
     let settings = &shared.settings;
     let peers = shared.peers.borrow();
-    let members = peers.recent_peers(clock::now()).filter(|peer| {
-        let domain = &peer.record.domain;
-        let peer_tier = match settings.region(domain) {
-            _ if *domain == settings.domain => 0,
-            region if region == shared.region.as_ref() => 1,
-            _ => 2,
+    let now = clock::now();
+    let hosts = peers.domain_hosts(&settings.domain, now);
+    let group = group(&hosts, &settings.host, usize::MAX);
+    let is_grouped = |host: &model::HostName| {
+        let position = hosts.binary_search(&host).unwrap_or(hosts.len());
+        group.contains(position, hosts.len())
+    };
+    let members = peers.recent_peers(now).filter(|peer| {
+        let record = &peer.record;
+        let peer_tier = match settings.region(&record.domain) {
+            _ if record.domain == settings.domain && is_grouped(&record.host) => 0,
+            _ if record.domain == settings.domain => 1,
+            region if region == shared.region.as_ref() => 2,
+            _ => 3,
         };
         peer_tier == tier
     });
     members.map(|peer| peer.record.address).collect()
 }
 
+/// Returns the group of the host `own` among the sorted hosts of its failure domain, which has
+/// `targets` targets of a service.
+fn group(hosts: &[&model::HostName], own: &model::HostName, targets: usize) -> subset::Group {
+    let rank = hosts.binary_search(&own).unwrap_or_default();
+    subset::Group::new(rank, hosts.len(), targets)
+}
+
+/// Returns the group of this daemon in its failure domain, which has `targets` targets of a
+/// service.
+pub(crate) fn own_group(shared: &Shared, targets: usize, now: clock::Millis) -> subset::Group {
+    let peers = shared.peers.borrow();
+    let hosts = peers.domain_hosts(&shared.settings.domain, now);
+    group(&hosts, &shared.settings.host, targets)
+}
+
+/// Returns the time in milliseconds after which reports of requests in progress expire.
+pub(crate) fn report_ttl_ms(shared: &Shared) -> u64 {
+    let receivers = std::array::from_fn(|tier| tier_addresses(shared, tier).len());
+    gossip::report_ttl_ms(receivers)
+}
+
 /// Sends one heartbeat to all daemons that may be live, with load to the coordinator only.
 async fn send_heartbeat(
     shared: &Shared,
--- a/tests/gateway_choice.rs
+++ b/tests/gateway_choice.rs
@@ -7,7 +7,9 @@
 
 use pistachiomoor::clock::Millis;
 use pistachiomoor::gateway::adapter::LoadReport;
-use pistachiomoor::gateway::choice::{AttemptOutcome, Candidate, Instance, MeanWork, Pick, Table};
+use pistachiomoor::gateway::choice::{
+    AttemptOutcome, Candidate, Instance, MeanWork, Pick, Table, gossip, subset,
+};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -279,11 +281,11 @@
     let digest = instance(0).digest();
     table.on_counts(1, vec![(digest, 3)], START);
     table.on_counts(2, vec![(digest, 4)], START + 500);
-    table.expire(START + REPORT_TTL_MS);
+    table.expire(START + REPORT_TTL_MS, REPORT_TTL_MS);
     assert_eq!(table.requests(&instance(0), START + REPORT_TTL_MS), 7.0);
-    table.expire(START + REPORT_TTL_MS + 1);
+    table.expire(START + REPORT_TTL_MS + 1, REPORT_TTL_MS);
     assert_eq!(table.requests(&instance(0), START + REPORT_TTL_MS + 1), 4.0);
-    table.expire(START + REPORT_TTL_MS + 501);
+    table.expire(START + REPORT_TTL_MS + 501, REPORT_TTL_MS);
     assert_eq!(
         table.requests(&instance(0), START + REPORT_TTL_MS + 501),
         0.0
@@ -371,3 +373,69 @@
     let mean = work.mean().expect("samples");
     assert!(mean > 1.9 * WORK_MS, "{mean}");
 }
+
+/// Guards against groups that leave out a daemon or a target, that differ much in size, or that
+/// divide a small failure domain.
+#[test]
+fn group_division() {
+    for (daemons, targets, expected) in [
+        (1, 8, 1),
+        (3, 21, 1),
+        (12, 200, 1),
+        (21, 58, 2),
+        (37, 78, 4),
+        (37, 45, 2),
+        (140, 400, 17),
+        (8, 0, 1),
+    ] {
+        let groups: Vec<_> = (0..daemons)
+            .map(|rank| subset::Group::new(rank, daemons, targets))
+            .collect();
+        let mut distinct = groups.clone();
+        distinct.dedup();
+        assert_eq!(
+            distinct.len(),
+            expected,
+            "{daemons} daemons, {targets} targets"
+        );
+        for (rank, group) in groups.iter().enumerate() {
+            assert!(group.contains(rank, daemons));
+        }
+        for members in [daemons, targets] {
+            let sizes = distinct.iter().map(|group| {
+                let positions = 0..members;
+                positions.filter(|at| group.contains(*at, members)).count()
+            });
+            let sizes: Vec<_> = sizes.collect();
+            assert_eq!(sizes.iter().sum::<usize>(), members);
+            let (least, most) = (sizes.iter().min(), sizes.iter().max());
+            assert!(most.unwrap() - least.unwrap() <= 1, "{sizes:?}");
+        }
+    }
+}
+
+/// Guards against messages whose number grows with the daemons, against longer intervals in a
+/// fleet of 11, and against reports that expire before the next one.
+#[test]
+fn gossip_intervals() {
+    // Daemons of the group, of the rest of the domain, of the rest of the region, and others.
+    let small = [2, 0, 3, 5];
+    let rounds = |receivers: [usize; 4]| -> [u64; 4] {
+        std::array::from_fn(|tier| gossip::rounds(tier, receivers[tier]))
+    };
+    assert_eq!(rounds(small), [1, 1, 5, 24]);
+    assert_eq!(gossip::report_ttl_ms(small), REPORT_TTL_MS);
+    for receivers in [small, [9, 10, 21, 42], [8, 28, 111, 147], [8, 85, 187, 280]] {
+        let sent = receivers.iter().zip(rounds(receivers));
+        let sent = sent.map(|(receivers, rounds)| {
+            *receivers as f64 * 1_000.0 / (rounds * gossip::ROUND_MS) as f64
+        });
+        let sent: f64 = sent.sum();
+        assert!(sent <= 310.0, "{sent} messages a second to {receivers:?}");
+        let longest = rounds(receivers).into_iter().max().unwrap() * gossip::ROUND_MS;
+        assert!(
+            gossip::report_ttl_ms(receivers) > 2 * longest,
+            "{receivers:?}"
+        );
+    }
+}
