Have daemons that start together wait for a reader before they read on

In its first second each daemon read the newest records of four topics and then went on reading for all others, since it knew no reader yet.

Change: after the first read of a topic a daemon waits as long as it would for a reader that has fallen silent (35% of the drain bound), and then 50 ms for each daemon of its domain before it. The topic of hosts is read on at once.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -350,6 +350,7 @@
     let mut inbox = shared.relay.borrow_mut().open(plan.topic);
     let mut position = Position::default();
     let mut reads = Reads::new();
+    let mut starting = true;
     loop {
         let pause = match position.from {
             None if position.failures > 0 && shared.has_reader_of(plan.topic) => {
@@ -358,7 +359,12 @@
             }
             None => {
                 reads.cancel();
-                read_all(&shared, &plan, &mut position, &mut handler).await
+                let pause = read_all(&shared, &plan, &mut position, &mut handler).await;
+                let is_first = std::mem::take(&mut starting) && position.from.is_some();
+                if is_first && plan.topic != Topic::Hosts {
+                    await_reader(&shared, &plan).await;
+                }
+                pause
             }
             Some(offset) if shared.has_reader_of(plan.topic) => {
                 reads.cancel();
@@ -411,6 +417,16 @@
     }
 }
 
+/// Gives another daemon of the failure domain, after the first read of a topic, the time to
+/// become the reader. Daemons start together, and each would read for all others until it
+/// knows them.
+async fn await_reader(shared: &Shared, plan: &Plan) {
+    tokio::time::sleep(shared.reader_timeout()).await;
+    if !shared.has_reader_of(plan.topic) {
+        tokio::time::sleep(Duration::from_millis(shared.stagger())).await;
+    }
+}
+
 /// Applies what the reader passed on, and reads missed records; returns the pause
 /// before the next read in milliseconds.
 async fn apply_received(
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -348,7 +348,7 @@
 impl Shared {
     /// Returns the time by which this daemon's first own call follows that of the first
     /// daemon of its failure domain, in milliseconds.
-    fn stagger(&self) -> u64 {
+    pub(crate) fn stagger(&self) -> u64 {
         let settings = &self.settings;
         let near = |domain: &model::DomainName| *domain == settings.domain;
         let peers = self.peers.borrow();
@@ -356,6 +356,11 @@
         STAGGER_MS * u64::from(rank.min(MAX_STAGGER_RANK))
     }
 
+    /// Returns the time without an announced read after which a daemon may read itself.
+    pub(crate) fn reader_timeout(&self) -> Duration {
+        Duration::from_millis(self.settings.bounds.drain.0 * SILENCE_PERCENT / 100)
+    }
+
     /// Returns how recent the reader's reads have to be for this daemon to make no calls
     /// of its own.
     fn read_limits(&self) -> ReadLimits {
