End the wait for a reader once one is heard

Change: a message of the reader ends it.

Measured: not measured apart; `reads_after_common_start`, the tests of configurations and of downloads pass.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -421,9 +421,20 @@
 /// become the reader. Daemons start together, and each would read for all others until it
 /// knows them.
 async fn await_reader(shared: &Shared, plan: &Plan) {
-    tokio::time::sleep(shared.reader_timeout()).await;
-    if !shared.has_reader_of(plan.topic) {
+    let mut timeout = std::pin::pin!(async {
+        tokio::time::sleep(shared.reader_timeout()).await;
+        // The daemons of the domain are known by now.
         tokio::time::sleep(Duration::from_millis(shared.stagger())).await;
+    });
+    loop {
+        tokio::select! {
+            () = timeout.as_mut() => return,
+            () = shared.reader_progress.notified() => {
+                if shared.has_reader_of(plan.topic) {
+                    return;
+                }
+            }
+        }
     }
 }
 
