Count no unknown voters where a restored log has no record

Cause: made a first coordinator in a later era of the log, which finds no record of the key table, wait for voters that it can't know.

Change: without a record there are no recorded voters; the majority of the live daemons is asked, as before. A record that can't be decoded still stands for unknown voters.

--- a/src/gateway/coordinator/quorums.rs
+++ b/src/gateway/coordinator/quorums.rs
@@ -57,10 +57,11 @@
         offset: Option<model::Offset>,
         table: Option<&keys::Table>,
     ) -> Vec<keys::Voters> {
-        let is_unknown = offset.is_some() || (self.era() > 0 && self.lost_quorums.is_empty());
         let mut earlier = match table {
             Some(table) => lists(table),
-            None if is_unknown => vec![keys::Voters::new()],
+            None if offset.is_some() => vec![keys::Voters::new()],
+            // A log that was restored without a record names no voters; a majority of the live
+            // daemons is asked all the same.
             None => Vec::new(),
         };
         for lost in &self.lost_quorums {
