--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -2,8 +2,8 @@
 
 use std::io;
 use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -97,7 +97,10 @@
         service_of("records", ",\"Sharded\":true,\"Warm\":\"2s\""),
         limits.to_owned(),
     ];
-    format!("{{\"Version\":\"r{version}\",\"Resources\":[{}]}}", resources.join(","))
+    format!(
+        "{{\"Version\":\"r{version}\",\"Resources\":[{}]}}",
+        resources.join(",")
+    )
 }
 
 /// Number of daemons in the zone: skyfuel-gw-grown has 83 in four zones.
@@ -156,7 +159,12 @@
         }
         record.say(format!("{} daemons are ready", daemons.len()));
         sleep(6_000 * MS);
-        Ok(Self { record, store, daemons, _scratch: scratch })
+        Ok(Self {
+            record,
+            store,
+            daemons,
+            _scratch: scratch,
+        })
     }
 
     /// Lets the log be down for a time, if there is to be trouble; returns when it is back.
@@ -173,7 +181,11 @@
 
     /// Fails if a daemon has ended by itself.
     fn check_processes(&mut self) -> io::Result<()> {
-        match self.daemons.iter_mut().find_map(|d| d.has_ended().then(|| d.name.clone())) {
+        match self
+            .daemons
+            .iter_mut()
+            .find_map(|d| d.has_ended().then(|| d.name.clone()))
+        {
             Some(name) => Err(io::Error::other(format!("{name} has ended"))),
             None => Ok(()),
         }
@@ -192,7 +204,10 @@
         let returned = zone.outage(trouble, outage);
         sleep(300 * MS);
         let (version, service) = (round + 1, if former == "old" { "new" } else { "old" });
-        if !zone.store.put("keyed.op", "config", &configuration(version, service)) {
+        if !zone
+            .store
+            .put("keyed.op", "config", &configuration(version, service))
+        {
             return Err(io::Error::other("the log refused the operator"));
         }
         let acknowledged = Instant::now();
@@ -214,7 +229,8 @@
     }
     zone.check_processes()?;
     let broken = broken.into_inner();
-    zone.record.say(format!("{broken} requests were run by the former service"));
+    zone.record
+        .say(format!("{broken} requests were run by the former service"));
     Ok(broken > 0)
 }
 
@@ -242,7 +258,11 @@
         zone.record.say(format!("the entry of {id} is removed"));
         let end = Instant::now() + 8_000 * MS;
         std::thread::scope(|scope| {
-            for (daemon, client) in zone.daemons.iter().flat_map(|d| (1..=3).map(move |c| (d, c))) {
+            for (daemon, client) in zone
+                .daemons
+                .iter()
+                .flat_map(|d| (1..=3).map(move |c| (d, c)))
+            {
                 let (record, lost) = (&zone.record, &lost);
                 scope.spawn(move || {
                     lost.fetch_add(order(daemon, client, end, record), Ordering::SeqCst);
@@ -256,7 +276,9 @@
     }
     zone.check_processes()?;
     let lost = *lost.get_mut();
-    zone.record.say(format!("{late} requests came too late; {lost} orders were lost"));
+    zone.record.say(format!(
+        "{late} requests came too late; {lost} orders were lost"
+    ));
     Ok(late > 0)
 }
 
@@ -282,7 +304,8 @@
             zone.record.say("the zone loses power");
             zone.daemons.iter_mut().for_each(Daemon::kill);
             sleep(5_500 * MS);
-            zone.record.say("its machines are back, and the log is slow");
+            zone.record
+                .say("its machines are back, and the log is slow");
             zone.store.set_slow(true);
             for daemon in &mut zone.daemons {
                 daemon.start()?;
@@ -292,11 +315,23 @@
         for number in 1..=4 {
             let id = format!("i-old-{round}-{number}");
             let cold = 3_000 * MS;
-            former.push(Upstream::start(&id, "old", ZONE, work, cold, &zone.store, &zone.record)?);
+            former.push(Upstream::start(
+                &id,
+                "old",
+                ZONE,
+                work,
+                cold,
+                &zone.store,
+                &zone.record,
+            )?);
         }
         let end = Instant::now() + 4_500 * MS;
         std::thread::scope(|scope| {
-            for (daemon, client) in zone.daemons.iter().flat_map(|d| (1..=2).map(move |c| (d, c))) {
+            for (daemon, client) in zone
+                .daemons
+                .iter()
+                .flat_map(|d| (1..=2).map(move |c| (d, c)))
+            {
                 let record = &zone.record;
                 scope.spawn(move || order(daemon, client, end, record));
             }
@@ -304,12 +339,16 @@
         zone.store.set_slow(false);
         for upstream in &former {
             let (id, count) = (&upstream.id, upstream.busiest_second());
-            zone.record.say(format!("{id} got {count} requests in a second while it was cold"));
+            zone.record.say(format!(
+                "{id} got {count} requests in a second while it was cold"
+            ));
             most = most.max(count);
         }
     }
     zone.check_processes()?;
-    zone.record.say(format!("at most {most} requests in a second; allowed are {COLD_LIMIT}"));
+    zone.record.say(format!(
+        "at most {most} requests in a second; allowed are {COLD_LIMIT}"
+    ));
     Ok(most > COLD_LIMIT)
 }
 
--- a/review/standin/daemon.rs
+++ b/review/standin/daemon.rs
@@ -79,14 +79,32 @@
         let mut fields = vec![
             ("{{Node|json}}".to_owned(), format!("\"{name}\"")),
             ("{{Zone|json}}".to_owned(), format!("\"{zone}\"")),
-            ("{{Zones|json}}".to_owned(), format!("{{{}}}", zones.join(","))),
-            ("{{Listen.Front|json}}".to_owned(), format!("\"{}\"", address(front))),
-            ("{{Listen.Ready|json}}".to_owned(), format!("\"{}\"", address(ready))),
+            (
+                "{{Zones|json}}".to_owned(),
+                format!("{{{}}}", zones.join(",")),
+            ),
+            (
+                "{{Listen.Front|json}}".to_owned(),
+                format!("\"{}\"", address(front)),
+            ),
+            (
+                "{{Listen.Ready|json}}".to_owned(),
+                format!("\"{}\"", address(ready)),
+            ),
             ("{{Ip}}".to_owned(), "127.0.0.1".to_owned()),
             ("{{InternalPorts.0}}".to_owned(), peer.to_string()),
-            ("{{Platform.Address|json}}".to_owned(), format!("\"{store}\"")),
-            ("{{Limits.MemoryMb|json}}".to_owned(), site.memory_mb.to_string()),
-            ("{{Limits.MaxFds|json}}".to_owned(), site.descriptors.to_string()),
+            (
+                "{{Platform.Address|json}}".to_owned(),
+                format!("\"{store}\""),
+            ),
+            (
+                "{{Limits.MemoryMb|json}}".to_owned(),
+                site.memory_mb.to_string(),
+            ),
+            (
+                "{{Limits.MaxFds|json}}".to_owned(),
+                site.descriptors.to_string(),
+            ),
         ];
         for (bound, text) in &site.bounds {
             fields.push((format!("{{{{Bounds.{bound}|json}}}}"), value(text)));
@@ -96,7 +114,9 @@
         }
         if let Some(at) = text.find("{{") {
             let rest: String = text[at..].chars().take(40).collect();
-            return Err(io::Error::other(format!("the template has a field without a value: {rest}")));
+            return Err(io::Error::other(format!(
+                "the template has a field without a value: {rest}"
+            )));
         }
         let settings = folder.join(format!("{name}.json"));
         std::fs::write(&settings, text)?;
@@ -112,7 +132,9 @@
     /// Starts the program with the words of the deploy file.
     pub fn start(&mut self) -> io::Result<()> {
         let deploy = std::fs::read_to_string("deploy/system.toml")?;
-        let run = deploy.lines().find_map(|line| line.strip_prefix("run = \""));
+        let run = deploy
+            .lines()
+            .find_map(|line| line.strip_prefix("run = \""));
         let run = run.and_then(|line| line.strip_suffix('"'));
         let run = run.ok_or_else(|| io::Error::other("the deploy file has no run line"))?;
         let mut words = run.split(' ');
@@ -158,7 +180,10 @@
         let end = Instant::now() + limit;
         while !self.is_ready() {
             if Instant::now() > end {
-                return Err(io::Error::other(format!("{} does not get ready", self.name)));
+                return Err(io::Error::other(format!(
+                    "{} does not get ready",
+                    self.name
+                )));
             }
             std::thread::sleep(Duration::from_millis(50));
         }
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -34,7 +34,10 @@
     }
 
     pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(n, _)| n.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.as_str())
     }
 
@@ -123,7 +126,9 @@
         stream: TcpStream,
         handler: impl Fn(Message) -> Option<Message> + Send + 'static,
     ) {
-        let copy = stream.set_nonblocking(false).and_then(|()| stream.try_clone());
+        let copy = stream
+            .set_nonblocking(false)
+            .and_then(|()| stream.try_clone());
         if let Ok(copy) = copy {
             self.connections.lock().expect("connections").push(copy);
             std::thread::spawn(move || connection(stream, handler));
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -46,7 +46,11 @@
         for digit in 0..4 {
             let index = group >> (18 - 6 * digit) & 63;
             let is_used = digit <= part.len();
-            text.push(if is_used { DIGITS[index as usize] as char } else { '=' });
+            text.push(if is_used {
+                DIGITS[index as usize] as char
+            } else {
+                '='
+            });
         }
     }
     text
@@ -108,8 +112,10 @@
         }
         let (_, target) = request.target();
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
-        let query: HashMap<&str, &str> =
-            query.split('&').filter_map(|part| part.split_once('=')).collect();
+        let query: HashMap<&str, &str> = query
+            .split('&')
+            .filter_map(|part| part.split_once('='))
+            .collect();
         let topic = query.get("Topic").copied().unwrap_or("");
         match path {
             "/api/log-append" => {
@@ -142,7 +148,12 @@
             if left.is_zero() || self.is_busy() {
                 break;
             }
-            topics = self.state.changed.wait_timeout(topics, left).expect("topics").0;
+            topics = self
+                .state
+                .changed
+                .wait_timeout(topics, left)
+                .expect("topics")
+                .0;
         }
         if self.is_busy() {
             return Message::response(503);
--- a/review/standin/upstream.rs
+++ b/review/standin/upstream.rs
@@ -109,7 +109,11 @@
         let sequence = 1 + self.sequence.fetch_add(1, Ordering::SeqCst);
         let leaving = self.leaving.lock().expect("the state");
         let mut written = self.written.lock().expect("the entry");
-        let state = if self.cold_left().is_zero() { "warm" } else { "cold" };
+        let state = if self.cold_left().is_zero() {
+            "warm"
+        } else {
+            "cold"
+        };
         if leaving.is_none() && *written != state && self.put(store, &self.entry(sequence)) {
             *written = state;
         }
@@ -130,7 +134,11 @@
             };
             arrivals.iter().filter(inside).count()
         };
-        arrivals.iter().map(|(sent, _)| count(*sent)).max().unwrap_or(0)
+        arrivals
+            .iter()
+            .map(|(sent, _)| count(*sent))
+            .max()
+            .unwrap_or(0)
     }
 
     fn put(&self, store: &Store, entry: &str) -> bool {
@@ -183,7 +191,10 @@
     }
 
     fn respond(&self, request: &Message) -> Message {
-        if request.header("target-instance").is_some_and(|id| id != self.id) {
+        if request
+            .header("target-instance")
+            .is_some_and(|id| id != self.id)
+        {
             return Message::response(421).with("Not-Executed", 1);
         }
         let (_, target) = request.target();
@@ -204,13 +215,20 @@
         let fence = number(body, "fence")?;
         let hold = field(body, "Hold")?.strip_suffix("ms")?.parse().ok()?;
         let mut grants = self.grants.lock().expect("grants");
-        let mut overlapping = grants.iter().filter(|held| held.from <= to && from <= held.to);
+        let mut overlapping = grants
+            .iter()
+            .filter(|held| held.from <= to && from <= held.to);
         if overlapping.any(|held| held.fence > fence) {
             return Some(409);
         }
         grants.retain(|held| (held.from, held.to, held.fence) != (from, to, fence));
         let until = Instant::now() + Duration::from_millis(hold);
-        grants.push(Grant { from, to, fence, until });
+        grants.push(Grant {
+            from,
+            to,
+            fence,
+            until,
+        });
         Some(200)
     }
 
@@ -222,11 +240,21 @@
             let Grant { fence, until, .. } = held;
             if held.from < from {
                 let to = held.to.min(from - 1);
-                kept.push(Grant { from: held.from, to, fence, until });
+                kept.push(Grant {
+                    from: held.from,
+                    to,
+                    fence,
+                    until,
+                });
             }
             if held.to > to {
                 let from = held.from.max(to + 1);
-                kept.push(Grant { from, to: held.to, fence, until });
+                kept.push(Grant {
+                    from,
+                    to: held.to,
+                    fence,
+                    until,
+                });
             }
         }
         *grants = kept;
@@ -239,13 +267,19 @@
             let key: u64 = key.parse().unwrap_or(u64::MAX);
             let now = Instant::now();
             let grants = self.grants.lock().expect("grants");
-            let mut held = grants.iter().filter(|held| held.from <= key && key <= held.to);
+            let mut held = grants
+                .iter()
+                .filter(|held| held.from <= key && key <= held.to);
             if !held.any(|held| held.until > now) {
-                return Message::response(421).with("Request-Id", id).with("Not-Executed", 1);
+                return Message::response(421)
+                    .with("Request-Id", id)
+                    .with("Not-Executed", 1);
             }
         }
         let (upstream, service) = (&self.id, self.service);
-        self.record.note(format!("request {id} for {target} runs at {upstream} of {service}"));
+        self.record.note(format!(
+            "request {id} for {target} runs at {upstream} of {service}"
+        ));
         if !self.cold_left().is_zero() {
             // The clients' identifiers end with the time of sending.
             let sent = id.rsplit('-').next().and_then(|text| text.parse().ok());
@@ -267,7 +301,8 @@
         }
         std::thread::sleep(self.work);
         if self.has_ended() {
-            self.record.say(format!("request {id} breaks off: {upstream} has ended"));
+            self.record
+                .say(format!("request {id} breaks off: {upstream} has ended"));
         }
         Message::response(200)
             .with("Request-Id", id)
