Notice the end of an outage of the log without further records

Cause: a daemon that reads through another one ended its outage only when a record was passed on. Without one, it took a removal four seconds later for a consequence of the outage and delayed it; delayed removals were looked at only when a further batch came.

Change: a renewed view of the targets, by the reader's announcement as well, ends the outage if the read behind it began after it. Delayed removals are looked at each second. Both are needed: the first makes the removal take effect at once, the second bounds the delay of a removal that is in doubt.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -139,14 +139,16 @@
     }
 }
 
-/// Removes idle connections and the statistics of targets that no longer exist,
-/// once per interval.
+/// Performs delayed removals of targets, and removes idle connections and the statistics of
+/// targets that no longer exist, once per interval.
 async fn sweep(shared: Rc<Shared>) {
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
         let now = clock::now();
         shared.client.close_expired(now);
         shared.orders.close_expired(now);
+        // Without this, a delayed removal would wait for the next record of the topic.
+        shared.sweep_registry(now);
         let ttl = peers::report_ttl_ms(&shared);
         shared.choice.borrow_mut().expire(now, ttl);
         let instances = executor::instances(&shared);
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -680,8 +680,14 @@
         return;
     };
     if topic == Topic::Targets {
-        let until = clock::now() - renewal.age;
+        let now = clock::now();
+        let until = now - renewal.age;
         shared.registry.borrow_mut().set_current(until);
+        // A reader that has read since the outage began shows that it is over, whether or not
+        // there are records to pass on.
+        if shared.outage.get().is_some_and(|since| since <= until) {
+            shared.end_outage(now);
+        }
     }
     let Some(age) = renewal.age_before else {
         return;
@@ -748,7 +754,6 @@
         shared: Rc::clone(shared),
         era: readers::LastEra::default(),
         rewriting_until: clock::Millis(0),
-        outage_since: None,
     };
     let hosts = readers::Hosts {
         shared: Rc::clone(shared),
--- a/src/gateway/feed/readers.rs
+++ b/src/gateway/feed/readers.rs
@@ -194,8 +194,6 @@
     /// Time until which entries that a restored log lacks are written again; others may lack
     /// one that is known here.
     pub(super) rewriting_until: clock::Millis,
-    /// Start of the current outage of the log, if there is one.
-    pub(super) outage_since: Option<clock::Millis>,
 }
 
 impl Targets {
@@ -214,11 +212,7 @@
     /// Records an answer of the log, which ends an outage.
     fn on_answer(&mut self, source: Source) {
         let now = clock::now();
-        if let Some(since) = self.outage_since.take() {
-            log::info!("the log answers again after {} ms", now.since(since));
-            self.shared.registry.borrow_mut().set_outage(now, false);
-            self.shared.log_returned.notify_waiters();
-        }
+        self.shared.end_outage(now);
         if let Source::Own(_) = source {
             self.shared
                 .answering_since
@@ -313,11 +307,7 @@
     }
 
     fn failed(&mut self) {
-        let now = clock::now();
-        self.outage_since.get_or_insert(now);
-        self.shared.answering_since.set(None);
-        self.shared.outage_since.set(self.outage_since);
-        self.shared.registry.borrow_mut().set_outage(now, true);
+        self.shared.begin_outage(clock::now());
     }
 }
 
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -63,6 +63,8 @@
     /// Time since which all of this daemon's reads of the list of targets have
     /// succeeded, or `None` if the last one failed.
     pub answering_since: Cell<Option<clock::Millis>>,
+    /// Start of the outage of the log that lasts, as this daemon sees it.
+    pub(crate) outage: Cell<Option<clock::Millis>>,
     /// Start of the last period in which this daemon could not read the log.
     pub outage_since: Cell<Option<clock::Millis>>,
     /// State of the relay, by which one daemon reads the log for its failure domain.
@@ -152,6 +154,7 @@
             host_record: Cell::default(),
             log_era: Cell::default(),
             answering_since: Cell::default(),
+            outage: Cell::default(),
             outage_since: Cell::default(),
             relay: RefCell::default(),
             views: RefCell::default(),
@@ -187,6 +190,35 @@
         !self.stopping.get() && self.targets_read.get() && self.catalog.borrow().is_some()
     }
 
+    /// Records that a read of the targets failed, which begins an outage of the log.
+    pub(crate) fn begin_outage(&self, now: clock::Millis) {
+        let since = self.outage.get().unwrap_or(now);
+        self.outage.set(Some(since));
+        self.outage_since.set(Some(since));
+        self.answering_since.set(None);
+        self.registry.borrow_mut().set_outage(now, true);
+    }
+
+    /// Ends an outage of the log, if there is one, and wakes the tasks that wait to read.
+    pub(crate) fn end_outage(&self, now: clock::Millis) {
+        if let Some(since) = self.outage.take() {
+            log::info!("the log answers again after {} ms", now.since(since));
+            self.registry.borrow_mut().set_outage(now, false);
+            self.log_returned.notify_waiters();
+        }
+    }
+
+    /// Performs delayed removals of targets that are due, and wakes the coordinator if the
+    /// list of targets has changed.
+    pub(crate) fn sweep_registry(&self, now: clock::Millis) {
+        let mut registry = self.registry.borrow_mut();
+        let before = registry.generation();
+        registry.sweep(now);
+        if registry.generation() != before {
+            self.wake_coordinator.notify_one();
+        }
+    }
+
     /// Returns whether a failure domain's region is one of `regions`; an empty list
     /// allows all.
     pub fn is_allowed(&self, domain: &model::DomainName, regions: &[model::RegionName]) -> bool {
