Bound the pauses between failed reads of the log

Cause: from the second failed read on, each daemon paused for 0.5 to 1.5 times 500 ms x the daemons of its failure domain, with 21 daemons 5.25 to 15.75 s. All pauses began with the outage, so that no daemon read the log in the first seconds after a short one; what ends the pauses, the announcement of a daemon that reads, never came.

Change: the mean pause is bounded by the time within which a configuration must be in effect, so that the longest one leaves 40% of it for the read. While it is out, 21 daemons call it up to 25 times a second (2 before), which the limits of the platform's log allow by far (6,000 for 83 hosts).

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -19,6 +19,7 @@
 pub mod memory;
 pub mod notices;
 pub mod order;
+pub mod pause;
 pub mod peers;
 pub mod quarantine;
 pub mod query;
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -14,6 +14,7 @@
 use crate::gateway::client;
 use crate::gateway::counters;
 use crate::gateway::keys;
+use crate::gateway::pause;
 use crate::gateway::peers;
 use crate::gateway::relay;
 use crate::gateway::settings;
@@ -59,11 +60,6 @@
 /// Timeout for a connection to the log.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Pause after a failed read of the targets' topic or a failed append of the host's
-/// record. Refused calls have a price as well, so that the daemons of a failure domain
-/// share the reads from the second failure on.
-const RETRY_PAUSE_MS: u64 = 500;
-
 /// Pause after a failed read of another topic while the log answers.
 const SHORT_RETRY_PAUSE_MS: u64 = 200;
 
@@ -718,23 +714,19 @@
     handler.failed();
     position.failures += 1;
     // While the targets can be read, the log is available and only this call failed.
-    let pause = match plan.topic {
-        Topic::Targets => RETRY_PAUSE_MS,
+    let base = match plan.topic {
+        Topic::Targets => pause::RETRY_MS,
         _ if shared.answering_since.get().is_some() => return SHORT_RETRY_PAUSE_MS,
         _ => OUTAGE_RETRY_PAUSE_MS,
     };
-    match position.failures {
-        1 => pause,
-        _ => shared_pause(pause, shared.domain_daemons(), rand::random()),
+    if position.failures == 1 {
+        return base;
     }
-}
-
-/// Returns the pause in milliseconds for each of `daemons` daemons that together make
-/// one call per `pause` milliseconds on average. `random`, from 0 to 1, spreads it from
-/// half the mean to one and a half times the mean.
-fn shared_pause(pause: u64, daemons: u64, random: f64) -> u64 {
-    let mean = pause * daemons;
-    mean / 2 + (mean as f64 * random) as u64
+    let sharing = pause::SharedPause {
+        daemons: shared.domain_daemons(),
+        configure_ms: shared.settings.bounds.configure.0,
+    };
+    sharing.after_failure(base, rand::random())
 }
 
 /// Returns the interval between reads of the targets' topic, in milliseconds.
@@ -800,7 +792,7 @@
                 return;
             }
         }
-        tokio::time::sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
+        tokio::time::sleep(Duration::from_millis(pause::RETRY_MS)).await;
     }
 }
 
