Let the coordinator share no pauses with daemons that don't read for it

Cause: no daemon reads the log for the coordinator, and it leaves out what the others announce, but its pause after failed reads was that of a daemon which shares its reads with the failure domain.

Change: the coordinator pauses as a daemon does that reads alone.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -723,7 +723,7 @@
         return base;
     }
     let sharing = pause::SharedPause {
-        daemons: shared.domain_daemons(),
+        daemons: shared.sharing_daemons(),
         configure_ms: shared.settings.bounds.configure.0,
     };
     sharing.after_failure(base, rand::random())
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -416,9 +416,13 @@
         is_coordinator || *host < self.settings.host || !is_reading()
     }
 
-    /// Returns the number of daemons of the failure domain with a recent heartbeat, this
-    /// one included.
-    pub(crate) fn domain_daemons(&self) -> u64 {
+    /// Returns the number of daemons that share the reads of the log while it is out: those of
+    /// the failure domain with a recent heartbeat, this one included. The coordinator shares
+    /// them with nobody, since no other daemon reads for it.
+    pub(crate) fn sharing_daemons(&self) -> u64 {
+        if self.is_coordinator() {
+            return 1;
+        }
         let peers = self.peers.borrow();
         1 + peers.count_recent(&self.settings.domain, clock::now())
     }
