Give daemons a share of common limits only once they know the others

Cause: with more daemons than the limit allows requests, the daemons of the lowest ranks send one each. All listed daemons counted as senders, but the rank counted only those heard from. Daemons that start together have heard nobody, so that each took rank 0.

Change: a daemon sends a cold target nothing until it has known the hosts for as long as heartbeats take to time out, in which the others have heard from it. Its rank counts daemons that may be live and have sent no heartbeat yet.

The same cause on a related path: until the hosts are read, a daemon counted itself alone and took the whole reserve of retries (gateway_peers::known_live_unread). It now has the smallest share until then. The other uses of the rank stay: a takeover is decided by a conditional append, and the order of reads by rank costs a call at most.

--- a/src/gateway/exchange/budget.rs
+++ b/src/gateway/exchange/budget.rs
@@ -44,9 +44,11 @@
             quota::RetryBudget::new(hedges),
         )
     });
-    let live = shared.peers.borrow().count_live(clock::now());
-    retries.set_peers(live);
-    hedges.set_peers(live);
+    // Until then, a daemon has the smallest share: it would take the whole limit otherwise.
+    if let Some(live) = shared.peers.borrow().known_live(clock::now()) {
+        retries.set_peers(live);
+        hedges.set_peers(live);
+    }
     action(retries, hedges)
 }
 
--- a/src/gateway/exchange/selection.rs
+++ b/src/gateway/exchange/selection.rs
@@ -187,7 +187,7 @@
 ///
 /// A cold target of a service without keys gets requests only from daemons of its
 /// own failure domain. One of a keyed service gets them from all daemons, since only
-/// the owner of a key can serve it.
+/// the owner of a key can serve it. A daemon that takes no share yet sends none.
 pub(crate) fn admit_cold(
     shared: &Shared,
     target: &registry::Target,
@@ -206,8 +206,9 @@
         return false;
     };
     let is_sender = |domain: &model::DomainName| request.service.keyed || *domain == target.domain;
-    let settings = &shared.settings;
-    let rank = peers.rank(&settings.host, &settings.domain, now, is_sender);
+    let Some(rank) = peers.share_rank(&shared.settings.host, now, is_sender) else {
+        return false;
+    };
     // With more senders than requests, only the senders of the lowest ranks send.
     let total = quota::cold_share(
         request.service.cold_rate,
--- a/src/gateway/feed/readers.rs
+++ b/src/gateway/feed/readers.rs
@@ -333,6 +333,7 @@
         for record in &records {
             self.apply_record(record);
         }
+        self.shared.peers.borrow_mut().on_all_listed(clock::now());
         let own = self.shared.settings.host.as_str();
         let is_listed = records.iter().any(|record| &*record.key == own);
         let appended = self.shared.host_record.get();
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -204,6 +204,8 @@
 pub struct Directory {
     own: Option<model::HostName>,
     peers: HashMap<model::HostName, Peer>,
+    /// Time since which the hosts in the log are known; `None` before the first read.
+    known_since: Option<clock::Millis>,
 }
 
 impl Directory {
@@ -212,9 +214,43 @@
         Self {
             own: Some(own),
             peers: HashMap::new(),
+            known_since: None,
         }
     }
 
+    /// Records that all hosts in the log have been listed.
+    pub fn on_all_listed(&mut self, now: clock::Millis) {
+        self.known_since.get_or_insert(now);
+    }
+
+    /// Returns this daemon's rank among the daemons that share a limit, which are those of
+    /// failure domains for which `shares` holds, or `None` while it takes no share. The rank
+    /// is the number of sharing daemons with lower names.
+    ///
+    /// A daemon that has just started knows none of the others, and they don't count it: such
+    /// daemons would exceed the limit together. It takes no share until its heartbeats and
+    /// those of the others have had the time to arrive, and counts those that may be live and
+    /// have sent none yet.
+    pub fn share_rank(
+        &self,
+        own: &model::HostName,
+        now: clock::Millis,
+        shares: impl Fn(&model::DomainName) -> bool,
+    ) -> Option<u32> {
+        if now.since(self.known_since?) < HEARTBEAT_TIMEOUT_MS {
+            return None;
+        }
+        let is_present = |peer: &&Peer| {
+            peer.last_heartbeat
+                .is_none_or(|at| now.since(at) < HEARTBEAT_TIMEOUT_MS)
+        };
+        let sharing = self.live_peers(now).filter(is_present).filter(|peer| {
+            let record = &peer.record;
+            shares(&record.domain) && record.host < *own
+        });
+        Some(sharing.count() as u32)
+    }
+
     /// Adds or replaces a host by its record. A record that is known changes nothing.
     pub fn list(&mut self, record: HostRecord, now: clock::Millis) {
         if self.own.as_ref() == Some(&record.host) {
@@ -240,6 +276,12 @@
         }
     }
 
+    /// Returns the number of daemons that may be live, this one included, or `None` until
+    /// the hosts in the log are known.
+    pub fn known_live(&self, now: clock::Millis) -> Option<u32> {
+        self.known_since.map(|_| self.count_live(now))
+    }
+
     /// Returns the number of daemons that may be live, this one included.
     pub fn count_live(&self, now: clock::Millis) -> u32 {
         1 + self.live_peers(now).count() as u32
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -38,3 +38,70 @@
     let hosts: Vec<String> = hosts.iter().map(ToString::to_string).collect();
     assert_eq!(hosts, ["b2", "c1"]);
 }
+
+/// Hosts of a failure domain, by name.
+fn hosts(count: u32) -> Vec<String> {
+    (0..count).map(|number| format!("a{number:02}")).collect()
+}
+
+/// Returns the directory of a host that has read the records of `count` hosts of its domain
+/// at time 0.
+fn started(own: &str, count: u32) -> Directory {
+    let mut directory = Directory::new(own.into());
+    for host in hosts(count) {
+        directory.list(record(&host, "a"), Millis(0));
+    }
+    directory.on_all_listed(Millis(0));
+    directory
+}
+
+fn share_rank(directory: &Directory, own: &str, now: u64) -> Option<u32> {
+    directory.share_rank(&own.into(), Millis(now), |_| true)
+}
+
+/// Guards against daemons that start together, have not heard of each other, and each take the
+/// first rank: all of them would send requests to a cold target.
+#[test]
+fn share_rank_unheard() {
+    for (rank, own) in (0..).zip(hosts(21)) {
+        let directory = started(&own, 21);
+        assert_eq!(share_rank(&directory, &own, 2_499), None);
+        assert_eq!(share_rank(&directory, &own, 2_500), Some(rank));
+    }
+}
+
+/// Guards against a share of a daemon that has not read the records of the other hosts: it
+/// would take the whole limit.
+#[test]
+fn share_rank_unread() {
+    let mut directory = Directory::new("a00".into());
+    assert_eq!(share_rank(&directory, "a00", 100_000), None);
+    directory.list(record("a01", "a"), Millis(0));
+    assert_eq!(share_rank(&directory, "a00", 100_000), None);
+}
+
+/// Guards against a budget of retries that a daemon does not share because it has not read
+/// the records of the other hosts.
+#[test]
+fn known_live_unread() {
+    let mut directory = Directory::new("a00".into());
+    assert_eq!(directory.known_live(Millis(5)), None);
+    directory.list(record("a01", "a"), Millis(5));
+    directory.on_all_listed(Millis(5));
+    assert_eq!(directory.known_live(Millis(6)), Some(2));
+}
+
+/// Guards against shares that stay unused after the loss of the daemons that had them, and
+/// against daemons of other domains that are counted.
+#[test]
+fn share_rank_lost() {
+    let mut directory = started("a20", 21);
+    directory.list(record("0", "b"), Millis(0));
+    for host in hosts(21) {
+        directory.on_heartbeat(&host.as_str().into(), Millis(1_000));
+    }
+    directory.on_heartbeat(&"a03".into(), Millis(9_000));
+    let in_domain = |domain: &model::DomainName| *domain == "a".into();
+    let rank = directory.share_rank(&"a20".into(), Millis(10_000), in_domain);
+    assert_eq!(rank, Some(1));
+}
