--- a/src/gateway/client/wire.rs
+++ b/src/gateway/client/wire.rs
@@ -30,6 +30,10 @@
 /// First digit of the status of an interim response.
 const INTERIM_DIGIT: u8 = b'1';
 
+/// Largest number of interim responses before the response to a request. Each one is skipped,
+/// so that a peer that sends them without an end would never be left.
+const MAX_INTERIM: u32 = 64;
+
 /// Returns how many bytes of [`HEAD_END`] are at the end once `byte` follows `matched`
 /// of them.
 fn advance(matched: usize, byte: u8) -> usize {
@@ -47,13 +51,22 @@
     head: Vec<u8>,
     /// Bytes after the head, once it is complete.
     body: Option<u64>,
+    /// Interim responses that were skipped.
+    interim: u32,
 }
 
 impl Position {
-    /// Begins the next response.
+    /// Begins the response to the next request.
     fn begin(&mut self) {
         self.head.clear();
         self.body = None;
+        self.interim = 0;
+    }
+
+    /// Skips an interim response.
+    fn skip(&mut self) {
+        self.head.clear();
+        self.interim += 1;
     }
 
     /// Reads bytes that follow. An interim response is skipped.
@@ -72,7 +85,7 @@
             self.head.push(*byte);
             if self.head.ends_with(b"\n\n") || self.head.ends_with(b"\n\r\n") {
                 match self.head.get(STATUS_INDEX) {
-                    Some(&INTERIM_DIGIT) => self.begin(),
+                    Some(&INTERIM_DIGIT) => self.skip(),
                     _ => self.body = Some(0),
                 }
             }
@@ -133,6 +146,11 @@
         position.has_header("content-length") && position.has_header("transfer-encoding")
     }
 
+    /// Returns whether the peer has sent more interim responses than any peer needs.
+    fn has_too_many_interim(&self) -> bool {
+        self.position.borrow().interim > MAX_INTERIM
+    }
+
     /// Records bytes of the response.
     fn on_read(&self, bytes: &[u8]) {
         if bytes.is_empty() {
@@ -229,7 +247,10 @@
         let before = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
         self.progress.on_read(&buffer.filled()[before..]);
-        Poll::Ready(Ok(()))
+        Poll::Ready(match self.progress.has_too_many_interim() {
+            true => Err(io::ErrorKind::InvalidData.into()),
+            false => Ok(()),
+        })
     }
 }
 
--- a/tests/gateway_client.rs
+++ b/tests/gateway_client.rs
@@ -518,6 +518,26 @@
     drop(ended);
 }
 
+/// Guards against interim responses without an end, which are read for as long as the caller
+/// waits. A few of them are skipped.
+#[test]
+fn call_interim_endless() {
+    for (count, expected) in [(8, Ok("done".to_owned())), (1_000, Err(Failure::Broken))] {
+        let address = serve(move |listener| {
+            let mut link = Link::accept(&listener);
+            link.read().expect("a request");
+            let interim = "HTTP/1.1 103 Early Hints\r\nx: y\r\n\r\n".repeat(count);
+            // The client may have closed the connection.
+            let _ = link.0.write_all(interim.as_bytes());
+            let _ = link.0.write_all(answer("done", "").as_bytes());
+        });
+        run(async {
+            let client = Client::new();
+            assert_eq!(ask(&client, address, "/r").await, expected, "{count}");
+        });
+    }
+}
+
 /// Guards against a response head without an end that a call reads for ever.
 #[test]
 fn call_head_endless() {
