Read answers to orders up to 64 KiB only

A faulty target can send an answer to a grant or a release without an end. The coordinator kept up to 16 MiB of each, as it does of the log's answers. Requests of callers were bounded already.

Evidence: gateway_client::call_answer_above_limit without the limit: the call waits for the rest of the body. With it, a body with a length, in chunks or without either fails as one whose order may have been carried out.

--- a/src/gateway/client.rs
+++ b/src/gateway/client.rs
@@ -49,8 +49,8 @@
 /// large body that is forwarded as its caller takes it.
 const MAX_READ_BYTES: usize = 64 << 10;
 
-/// Largest response body that a call reads, in bytes. Peers of calls send at most a few
-/// megabytes; a body without an end must not fill the memory of a small host.
+/// Default of the largest response body that a call reads, in bytes. Peers of calls send at
+/// most a few megabytes; a body without an end must not fill the memory of a small host.
 const MAX_CALL_BYTES: usize = 16 << 20;
 
 /// Peer of a connection: an address and the incarnation of the process behind it.
@@ -123,6 +123,8 @@
     timeouts: ResponseTimeouts,
     /// Memory that the response takes.
     memory: &'m Arc<memory::ResponseMemory>,
+    /// Largest body that is read whole, in bytes, if the memory allows as much.
+    max_whole: usize,
 }
 
 /// Place of a response on its connection, from which callers conclude whether it
@@ -217,6 +219,18 @@
     memory: Arc<memory::ResponseMemory>,
     /// Memory for the answers to calls, which has no limit: those who call keep them.
     call_memory: Arc<memory::ResponseMemory>,
+    /// Largest response body that a call reads, in bytes.
+    call_limit: CallLimit,
+}
+
+/// Largest response body that a call reads, in bytes.
+#[derive(Clone, Copy, Debug)]
+struct CallLimit(usize);
+
+impl Default for CallLimit {
+    fn default() -> Self {
+        Self(MAX_CALL_BYTES)
+    }
 }
 
 impl Client {
@@ -251,6 +265,15 @@
         }
     }
 
+    /// Sets the largest response body that a call reads, in bytes; a longer one fails as
+    /// [`Failure::Broken`]. The default is 16 MiB.
+    pub fn with_call_limit(self, limit: usize) -> Self {
+        Self {
+            call_limit: CallLimit(limit),
+            ..self
+        }
+    }
+
     /// Returns the memory for responses that are forwarded.
     pub fn memory(&self) -> &Arc<memory::ResponseMemory> {
         &self.memory
@@ -284,6 +307,7 @@
             reuse: Reuse::Pooled,
             timeouts: ResponseTimeouts::UNLIMITED,
             memory: &self.memory,
+            max_whole: usize::MAX,
         };
         let exchange = self.send_on(peer, request, &options, may_send);
         Ok(self.release(peer, exchange.await?, is_reusable))
@@ -355,6 +379,7 @@
             reuse,
             timeouts,
             memory: &self.call_memory,
+            max_whole: self.call_limit.0,
         };
         let exchange = self.send_on(peer, request, &options, may_send).await?;
         self.complete(peer, exchange, reuse, timeouts).await
@@ -379,6 +404,7 @@
             reuse,
             timeouts,
             memory: &self.call_memory,
+            max_whole: self.call_limit.0,
         };
         let exchange = self.send_on(peer, request, &options, || true).await?;
         let response = self.complete(peer, exchange, reuse, timeouts).await?;
@@ -401,10 +427,13 @@
         let bytes = match body {
             Body::Whole(bytes) => bytes,
             Body::Partial(first, mut rest) => {
+                if first.len() > self.call_limit.0 {
+                    return Err(Failure::Broken);
+                }
                 let mut buffer = bytes::BytesMut::from(&first[..]);
                 while let Some(part) = with_timeout(timeouts.part, rest.next()).await? {
                     buffer.extend_from_slice(&part?);
-                    if buffer.len() > MAX_CALL_BYTES {
+                    if buffer.len() > self.call_limit.0 {
                         return Err(Failure::Broken);
                     }
                 }
@@ -502,7 +531,7 @@
                 share.add(data.len());
                 bytes.extend_from_slice(&data);
             }
-            if bytes.len() > options.memory.whole_limit() {
+            if bytes.len() > options.memory.whole_limit().min(options.max_whole) {
                 let stream = Stream {
                     incoming,
                     progress: connection.progress,
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -32,6 +32,10 @@
 use crate::gateway::view;
 use crate::model;
 
+/// Largest body of an answer to an order, in bytes. Only the status and the headers count, and
+/// a coordinator calls many targets at a time.
+const MAX_ORDER_BYTES: usize = 64 << 10;
+
 /// Shared state of a daemon.
 pub struct Shared {
     /// Settings.
@@ -145,7 +149,8 @@
                 .with_memory(memory::ResponseMemory::new(settings.capacity.body_bytes())),
             settings,
             incarnation: model::Incarnation(rand::random()),
-            orders: client::Client::with_counter(counters.connections.clone()),
+            orders: client::Client::with_counter(counters.connections.clone())
+                .with_call_limit(MAX_ORDER_BYTES),
             adapter,
             catalog: RefCell::default(),
             drained_domains: RefCell::default(),
--- a/tests/gateway_client.rs
+++ b/tests/gateway_client.rs
@@ -518,6 +518,42 @@
     drop(ended);
 }
 
+/// Guards against answers to orders that fill the memory of a coordinator: each of many targets
+/// could send as much as the log does.
+#[test]
+fn call_answer_above_limit() {
+    let (ended, end) = mpsc::channel::<()>();
+    let address = serve(move |listener| {
+        for head in [
+            "content-length: 1000000",
+            "transfer-encoding: chunked",
+            "x: y",
+        ] {
+            let mut link = Link::accept(&listener);
+            link.read().expect("a request");
+            link.write(&format!("HTTP/1.1 200 OK\r\n{head}\r\n\r\n"));
+            let part = "x".repeat(100_000);
+            match head.starts_with("transfer") {
+                true => link.write(&format!("186a0\r\n{part}\r\n")),
+                false => link.write(&part),
+            }
+            // The connection stays open until the next call.
+            std::mem::forget(link);
+        }
+        // Fails once the test has ended.
+        let _ = end.recv();
+    });
+    run(async {
+        let client = Client::new().with_call_limit(64 << 10);
+        for _ in 0..3 {
+            let call = ask(&client, address, "/r");
+            let answer = tokio::time::timeout(Duration::from_secs(5), call).await;
+            assert_eq!(answer, Ok(Err(Failure::Broken)));
+        }
+    });
+    drop(ended);
+}
+
 /// Guards against interim responses without an end, which are read for as long as the caller
 /// waits. A few of them are skipped.
 #[test]
