--- a/src/gateway/client.rs
+++ b/src/gateway/client.rs
@@ -4,6 +4,7 @@
 //! of the request may have left the host. Dropping a call closes its connection,
 //! which cancels the request at targets that watch for the close.
 
+mod pace;
 mod wire;
 
 use std::cell::RefCell;
@@ -158,6 +159,7 @@
     incoming: Incoming,
     progress: Rc<wire::Progress>,
     length: Option<u64>,
+    pace: pace::Pace,
     _driver: Driver,
 }
 
@@ -177,6 +179,7 @@
                 return Some(Err(Failure::Broken));
             };
             if let Ok(data) = frame.into_data() {
+                self.pace.on_part(data.len()).await;
                 return Some(Ok(data));
             }
         }
@@ -521,6 +524,7 @@
             });
         let mut bytes = bytes::BytesMut::new();
         let mut share = memory::Share::new(options.memory);
+        let mut pace = pace::Pace::default();
         loop {
             let frame = with_timeout(options.timeouts.part, incoming.frame()).await;
             let Some(frame) = frame.map_err(|failure| (failure, None))? else {
@@ -530,12 +534,14 @@
             if let Ok(data) = frame.into_data() {
                 share.add(data.len());
                 bytes.extend_from_slice(&data);
+                pace.on_part(data.len()).await;
             }
             if bytes.len() > options.memory.whole_limit().min(options.max_whole) {
                 let stream = Stream {
                     incoming,
                     progress: connection.progress,
                     length,
+                    pace,
                     _driver: connection.driver,
                 };
                 let body = Body::Partial(share.hold(bytes.freeze()), stream);
--- a/tests/gateway_client.rs
+++ b/tests/gateway_client.rs
@@ -574,6 +574,36 @@
     }
 }
 
+/// Guards against a body of tiny chunks that takes the whole processor from other requests.
+/// Without pauses, hundreds of thousands of chunks are read in a second.
+#[test]
+fn send_tiny_chunks_paced() {
+    let address = serve(move |listener| {
+        let mut link = Link::accept(&listener);
+        link.read().expect("a request");
+        let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+        let chunks = "1\r\nx\r\n".repeat(1_000);
+        // Ends when the client has closed the connection.
+        let mut is_open = link.0.write_all(head.as_bytes()).is_ok();
+        while is_open {
+            is_open = link.0.write_all(chunks.as_bytes()).is_ok();
+        }
+    });
+    run(async {
+        let client = Client::new();
+        let sent = request("/r", b"x");
+        let call = client.send(peer(address), sent, CONNECT_TIMEOUT, || true, |_| true);
+        let mut call = std::pin::pin!(call);
+        let started = Instant::now();
+        let ended = tokio::time::timeout(Duration::from_secs(1), call.as_mut()).await;
+        assert!(ended.is_err(), "the body has no end");
+        // 128 chunks are read between two pauses of 4 ms.
+        let most = 128 * (started.elapsed().as_millis() as usize / 4 + 1);
+        let read = client.memory().held();
+        assert!((1..=most).contains(&read), "{read} chunks, {most} at most");
+    });
+}
+
 /// Guards against a response head without an end that a call reads for ever.
 #[test]
 fn call_head_endless() {
