Place fewer keys with owners that take few requests

Callers of keys whose owner names a limit below its load are refused for as long as the limit lasts, although other targets have room. Cause: the coordinator weighs targets by slots and speed alone.

Change: the weight of a target is at most that of the slots which the requests of its limit fill, by the mean work of the routes to its service. Load is then evened out as usual.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -294,7 +294,7 @@
 }
 
 /// Returns the expected processing time of a route's requests, in milliseconds.
-fn expected_work(shared: &Shared, route: &adapter::Route) -> f64 {
+pub(crate) fn expected_work(shared: &Shared, route: &adapter::Route) -> f64 {
     let table = shared.work_times.borrow();
     let mean = table.get(&route.name).and_then(|work| work.mean());
     mean.unwrap_or(route.objective_ms.max(1) as f64 / INITIAL_WORK_DIVISOR)
--- a/src/gateway/executor.rs
+++ b/src/gateway/executor.rs
@@ -13,6 +13,7 @@
 use crate::gateway::client;
 use crate::gateway::coordinator;
 use crate::gateway::counters;
+use crate::gateway::exchange;
 use crate::gateway::feed::{self, TableRead};
 use crate::gateway::keys;
 use crate::gateway::order;
@@ -44,6 +45,9 @@
 /// Largest slowness relative to the mean that a target's weight takes into account.
 const MAX_SLOWNESS: f64 = 4.0;
 
+/// Milliseconds per second.
+const MS_PER_S: f64 = 1_000.0;
+
 type Coordinator = Rc<RefCell<coordinator::Coordinator>>;
 
 /// Starts the tasks that run the coordinator's state machine and the traffic between daemons.
@@ -487,11 +491,34 @@
         },
         service: target.service.clone(),
         domain: target.domain.clone(),
-        weight: f64::from(target.slots.max(1)) / slowness.clamp(MIN_SLOWNESS, MAX_SLOWNESS),
+        weight: limited_weight(
+            shared,
+            target,
+            f64::from(target.slots.max(1)) / slowness.clamp(MIN_SLOWNESS, MAX_SLOWNESS),
+        ),
         state,
     }
 }
 
+/// Returns a target's weight, at most that of the slots which the requests fill that the
+/// target takes by the limit that it named.
+fn limited_weight(shared: &Shared, target: &crate::gateway::registry::Target, weight: f64) -> f64 {
+    let limit = shared.limits.borrow().limit(&target.instance());
+    let catalog = shared.catalog.borrow();
+    let (Some(limit), Some(catalog)) = (limit, catalog.as_ref()) else {
+        return weight;
+    };
+    let is_served = |backend: &adapter::Backend| backend.service == target.service;
+    let routes = catalog
+        .routes()
+        .filter(|route| route.backends.iter().any(is_served));
+    let work: Vec<_> = routes
+        .map(|route| exchange::expected_work(shared, route))
+        .collect();
+    let mean_ms = work.iter().sum::<f64>() / work.len().max(1) as f64;
+    weight.min(limit.per_second() * mean_ms / MS_PER_S)
+}
+
 /// Executes one action and reports its outcome to the state machine.
 async fn execute(shared: Rc<Shared>, machine: Coordinator, action: coordinator::Action) {
     log::debug!("steward: {action:?}");
