Describe limits of targets; repeat them to at most 30 daemons a second

The first sender of each target repeated its limit to all daemons each second. With hundreds of daemons that would be as many datagrams as heartbeats are.

The sum of the reports' bytes was not measured.

--- a/src/gateway/limits/report.rs
+++ b/src/gateway/limits/report.rs
@@ -18,6 +18,10 @@
 /// Largest number of targets in one message; bounds the datagram.
 pub(crate) const MAX_REPORTS: usize = 30;
 
+/// Largest number of daemons to which a daemon repeats limits in a second: with more, each of
+/// them hears of a limit again after several seconds.
+const MAX_RECIPIENTS: usize = 30;
+
 /// Time by which the begin of a request may seem later to the receiver of a report than it
 /// was, in milliseconds: the datagram's way counts as no time.
 const TRANSIT_MS: u64 = 100;
@@ -73,16 +77,11 @@
         Some(Report::new(instance, entry, now))
     }
 
-    /// Returns what this daemon reports again: limits for which it comes first among the
-    /// senders, and changes that it learned lately from answers.
-    fn repeated(&self, now: clock::Millis) -> Vec<Report> {
-        let is_first = |entry: &Entry| {
-            entry.limit.is_some() && entry.position.is_some_and(|position| position.rank == 0)
-        };
-        let is_new = |entry: &Entry| entry.changed.is_some_and(|at| now.since(at) < REPEAT_MS);
+    /// Returns the reports of the targets that `is_reported` accepts.
+    fn reports(&self, now: clock::Millis, is_reported: impl Fn(&Entry) -> bool) -> Vec<Report> {
         let entries = self.entries.iter();
         entries
-            .filter(|(_, entry)| is_first(entry) || is_new(entry))
+            .filter(|(_, entry)| is_reported(entry))
             .map(|(instance, entry)| Report::new(instance, entry, now))
             .collect()
     }
@@ -118,7 +117,8 @@
         if let Some(change) = change {
             self.on_limit_change(instance, change, "in an answer");
             let report = self.limits.borrow().report(instance, now);
-            peers::report_limits(self, report.as_slice());
+            let addresses = self.peers.borrow().addresses(now);
+            peers::report_limits(self, report.as_slice(), &addresses);
         }
     }
 
@@ -182,15 +182,28 @@
         self.owner_changed.notify_waiters();
     }
 
-    /// Reports limits to all daemons again; called once a second.
-    pub(crate) fn repeat_limits(&self) {
+    /// Reports limits again; called once a second with the number of the `round`. Changes that
+    /// this daemon learned lately from answers go to all daemons, and limits for which it comes
+    /// first among the senders to some daemons in turn, for new processes.
+    pub(crate) fn repeat_limits(&self, round: u64) {
         let now = clock::now();
         let limited: Vec<_> = self.limits.borrow().entries.keys().cloned().collect();
         for instance in &limited {
+            // Determines this daemon's place anew if need be.
             self.limit_obstacle(instance, now);
         }
-        let reports = self.limits.borrow().repeated(now);
-        peers::report_limits(self, &reports);
+        let is_new = |entry: &Entry| entry.changed.is_some_and(|at| now.since(at) < REPEAT_MS);
+        let is_first = |entry: &Entry| {
+            entry.limit.is_some() && entry.position.is_some_and(|position| position.rank == 0)
+        };
+        let limits = self.limits.borrow();
+        let addresses = self.peers.borrow().addresses(now);
+        peers::report_limits(self, &limits.reports(now, is_new), &addresses);
+        let parts = addresses.len().div_ceil(MAX_RECIPIENTS).max(1);
+        let part = addresses.iter().skip(round as usize % parts).step_by(parts);
+        let part: Vec<_> = part.copied().collect();
+        let held = limits.reports(now, |entry| is_first(entry) && !is_new(entry));
+        peers::report_limits(self, &held, &part);
     }
 
     /// Returns why this daemon may send a target no request now by the limit that the target
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -473,7 +473,7 @@
             send_heartbeat(&shared, &socket, contents, load, coordinator()).await;
             if full {
                 report_all_leaving(&shared);
-                shared.repeat_limits();
+                shared.repeat_limits(round / rounds);
             }
         }
         tokio::time::sleep(Duration::from_millis(COORDINATOR_HEARTBEAT_MS)).await;
@@ -525,13 +525,12 @@
     }
 }
 
-/// Reports limits that targets named to all daemons that may be live.
-pub(crate) fn report_limits(shared: &Shared, reports: &[report::Report]) {
-    let addresses = shared.peers.borrow().addresses(clock::now());
+/// Reports limits that targets named to daemons.
+pub(crate) fn report_limits(shared: &Shared, reports: &[report::Report], addresses: &[SocketAddr]) {
     for reports in reports.chunks(report::MAX_REPORTS) {
         let message = Message::Limits(shared.settings.host.clone(), reports.to_vec());
         let message = encode(&message);
-        for address in &addresses {
+        for address in addresses {
             // A lost message is followed by the next report.
             let _ = shared.socket.try_send_to(&message, *address);
         }
