--- a/src/gateway/limits/permit.rs
+++ b/src/gateway/limits/permit.rs
@@ -51,6 +51,18 @@
 #[derive(Debug, Default)]
 pub(crate) struct Questions(RefCell<HashMap<u64, oneshot::Sender<bool>>>);
 
+/// A question that waits for its answer. A drop, also of a request whose caller left, ends it.
+struct Waiting<'q> {
+    questions: &'q Questions,
+    ticket: u64,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.questions.0.borrow_mut().remove(&self.ticket);
+    }
+}
+
 impl Shared {
     /// Returns whether one request may be sent to a target with a limit, after asking the first
     /// daemon in its division if that is another one.
@@ -79,6 +91,10 @@
         let (sender, receiver) = oneshot::channel();
         let ticket = rand::random();
         self.questions.0.borrow_mut().insert(ticket, sender);
+        let _waiting = Waiting {
+            questions: &self.questions,
+            ticket,
+        };
         let question = peers::Message::Question(Question {
             host: self.settings.host.clone(),
             ticket,
@@ -87,19 +103,18 @@
         // A question or an answer that is lost refuses the request.
         let _ = self.socket.try_send_to(&peers::encode(&question), address);
         let granted = tokio::time::timeout(ANSWER_TIMEOUT, receiver).await;
-        self.questions.0.borrow_mut().remove(&ticket);
         matches!(granted, Ok(Ok(true)))
     }
 
-    /// Answers another daemon's question. A daemon that is not the first one by its own view
-    /// grants nothing, so that two never grant permits for the same target for long.
+    /// Answers another daemon's question. One that has no share of the limit by its own view
+    /// grants nothing.
     pub(crate) fn on_question(&self, question: Question) {
         let now = clock::now();
         let instance = question.report.instance();
         self.on_limits_reported(&question.host, vec![question.report]);
         let is_limited = self.limits.borrow().limit(&instance).is_some();
         let granted = match is_limited {
-            true => self.grants_permits(&instance, now) && self.take_limited(&instance, now),
+            true => self.take_limited(&instance, now),
             // The limit has ended, as the report says.
             false => self.limits.borrow().report(&instance, now).is_some(),
         };
@@ -115,17 +130,6 @@
         }
     }
 
-    /// Returns whether this daemon is the one that is asked for permits, by its own view.
-    fn grants_permits(&self, instance: &Instance, now: clock::Millis) -> bool {
-        let Some(order) = self.sender_order(instance, now) else {
-            return false;
-        };
-        let (host, domain) = (&self.settings.host, &self.settings.domain);
-        let peers = self.peers.borrow();
-        let first = peers.first(host, domain, now, |host, domain| order.key(host, domain));
-        first == Some(peers::First::Own)
-    }
-
     /// Handles the answer to a question. One that comes too late is dropped.
     pub(crate) fn on_permit(&self, answer: Answer) {
         let Some(waiting) = self.questions.0.borrow_mut().remove(&answer.ticket) else {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -279,16 +279,9 @@
         now: clock::Millis,
         order: impl Fn(&model::HostName, &model::DomainName) -> K,
     ) -> Option<share::Position> {
-        if !self.knows_others(now) {
-            return None;
-        }
-        let mine = order(own, domain);
-        let precedes = |peer: &&Peer| order(&peer.record.host, &peer.record.domain) < mine;
-        Some(share::Position {
-            rank: self.present_peers(now).filter(precedes).count() as u32,
-            present: 1 + self.present_peers(now).count() as u32,
-            live: self.count_live(now),
-        })
+        let present = self.present_peers(now);
+        self.knows_others(now)
+            .then(|| self.position_among(present, own, domain, now, order))
     }
 
     /// Returns what [`Directory::position`] does, where only daemons with a recent heartbeat
@@ -300,16 +293,31 @@
         now: clock::Millis,
         order: impl Fn(&model::HostName, &model::DomainName) -> K,
     ) -> Option<share::Position> {
-        if !self.knows_others(now) {
-            return None;
-        }
+        let present = self.recent_peers(now);
+        self.knows_others(now)
+            .then(|| self.position_among(present, own, domain, now, order))
+    }
+
+    /// Returns this daemon's place in an order of the daemons, of which `peers` are present.
+    fn position_among<'a, K: Ord>(
+        &self,
+        peers: impl Iterator<Item = &'a Peer>,
+        own: &model::HostName,
+        domain: &model::DomainName,
+        now: clock::Millis,
+        order: impl Fn(&model::HostName, &model::DomainName) -> K,
+    ) -> share::Position {
         let mine = order(own, domain);
-        let precedes = |peer: &&Peer| order(&peer.record.host, &peer.record.domain) < mine;
-        Some(share::Position {
-            rank: self.recent_peers(now).filter(precedes).count() as u32,
-            present: 1 + self.recent_peers(now).count() as u32,
+        let (mut rank, mut present) = (0, 1);
+        for peer in peers {
+            present += 1;
+            rank += u32::from(order(&peer.record.host, &peer.record.domain) < mine);
+        }
+        share::Position {
+            rank,
+            present,
             live: self.count_live(now),
-        })
+        }
     }
 
     /// Returns which daemon comes first in an order, of this one and those with a recent
