--- a/src/gateway/executor.rs
+++ b/src/gateway/executor.rs
@@ -502,8 +502,8 @@
     }
 }
 
-/// Returns a target's weight, at most that of the slots which the requests fill that the
-/// target takes by the limit that it named.
+/// Returns a target's weight, capped by the number of slots that the requests of its limit
+/// keep busy on average.
 fn limited_weight(shared: &Shared, target: &crate::gateway::registry::Target, weight: f64) -> f64 {
     let limit = shared.limits.borrow().limit(&target.instance());
     let catalog = shared.catalog.borrow();
--- a/src/gateway/limits.rs
+++ b/src/gateway/limits.rs
@@ -100,8 +100,8 @@
 struct Entry {
     /// The limit, or `None` if it has ended.
     limit: Option<adapter::RequestRate>,
-    /// Time of the newest statement that counts: of the answer if it named this limit or a
-    /// higher one, else of the request.
+    /// Time of the newest statement that counts: when the answer arrived if it lowered or
+    /// repeated the limit, and when its request began if it raised or ended the limit.
     at: clock::Millis,
     source: Source,
     /// Time at which an answer to this daemon changed the limit last.
